--- /dev/null
+++ b/cmd/harewalk/main.go
@@ -0,0 +1,224 @@
+// Command harewalk is the cluster scheduler's daemon and its command-line client.
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/controller"
+)
+
+// version is set by the release build.
+var version = "0.1.0"
+
+// Exit codes.
+const (
+	exitFailed  = 1 // the request or the service failed
+	exitUsage   = 2 // wrong arguments or settings
+	exitRefused = 3 // the service refused the job for good
+)
+
+// coded carries an exit code.
+type coded struct {
+	code int
+	err  error
+}
+
+func (c coded) Error() string { return c.err.Error() }
+func (c coded) Unwrap() error { return c.err }
+
+func main() {
+	if err := root().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "harewalk:", err)
+		code := exitUsage
+		var c coded
+		if errors.As(err, &c) {
+			code = c.code
+		}
+		os.Exit(code)
+	}
+}
+
+func root() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "harewalk",
+		Short: "A cluster scheduler: rents machines, takes jobs and decides what runs where",
+		Long: "harewalk runs as three controllers that share a small state service. Users submit jobs\n" +
+			"over HTTP or with this command; workers on rented machines report to the controllers.\n\n" +
+			"Exit codes: 0 success, 1 failure, 2 wrong arguments or settings, 3 job refused.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	cmd.AddCommand(serveCmd(), checkCmd(), jobCmd(), &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "harewalk", version) },
+	})
+	return cmd
+}
+
+func settingsFlags(c *cobra.Command, file, hcl *string) {
+	c.Flags().StringVar(file, "config", "", "the platform's settings, a JSON file (required)")
+	c.Flags().StringVar(hcl, "operator", os.Getenv("HAREWALK_OPERATOR"), "the operators' settings, an HCL file (or $HAREWALK_OPERATOR)")
+	_ = c.MarkFlagRequired("config")
+}
+
+func serveCmd() *cobra.Command {
+	var file, hcl string
+	c := &cobra.Command{
+		Use: "serve --config FILE", Short: "Run one controller until it is ended", Args: cobra.NoArgs,
+		Long: "Run one controller. It keeps nothing on disk and may be ended at any time.\n" +
+			"LOG_LEVEL sets what goes to standard error: error, info (default) or debug.",
+		Example: "  harewalk serve --config /etc/harewalk/settings.json --operator /etc/harewalk/operator.hcl",
+		RunE: func(*cobra.Command, []string) error {
+			if err := logTo(os.Stderr, os.Getenv("LOG_LEVEL")); err != nil {
+				return coded{exitUsage, err}
+			}
+			s, err := config.Load(file, hcl)
+			if err != nil {
+				return coded{exitUsage, err}
+			}
+			if err := controller.New(s).Run(); err != nil {
+				return coded{exitFailed, err}
+			}
+			return nil
+		},
+	}
+	settingsFlags(c, &file, &hcl)
+	return c
+}
+
+func logTo(w io.Writer, level string) error {
+	var l slog.Level
+	switch strings.ToLower(level) {
+	case "error":
+		l = slog.LevelError
+	case "", "info":
+		l = slog.LevelInfo
+	case "debug":
+		l = slog.LevelDebug
+	default:
+		return fmt.Errorf("LOG_LEVEL %q is none of error, info, debug", level)
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: l})))
+	return nil
+}
+
+func checkCmd() *cobra.Command {
+	var file, hcl string
+	c := &cobra.Command{
+		Use: "check-config --config FILE", Short: "Check the settings and print what is derived from them", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := config.Load(file, hcl)
+			if err != nil {
+				return coded{exitUsage, err}
+			}
+			fmt.Fprintf(c.OutOrStdout(), "settings of %s are good: %d others, %d teams, %d objectives\n",
+				s.Node, len(s.Peers), len(s.Params.Teams), len(s.Params.Objectives))
+			o := s.Operator
+			fmt.Fprintf(c.OutOrStdout(), "hold_ttl_ms = %d\nsilent_s = %g\nidle_s = %g\nmax_machines = %d\nnetwork_factor = %g\n",
+				o.HoldTTLMS, o.SilentS, o.IdleS, o.MaxMachines, o.NetworkFactor)
+			return nil
+		},
+	}
+	settingsFlags(c, &file, &hcl)
+	return c
+}
+
+func jobCmd() *cobra.Command {
+	var server string
+	job := &cobra.Command{Use: "job", Short: "Submit, query and cancel jobs"}
+	job.PersistentFlags().StringVar(&server, "server", "127.0.0.1:8080", "address of a controller or of the load balancer")
+	job.AddCommand(
+		&cobra.Command{
+			Use: "submit FILE", Short: "Submit the job in a JSON file (- for standard input)", Args: cobra.ExactArgs(1),
+			Long: "Submit a job. A job that can't be taken now is offered again for up to a minute,\nas the answer's Retry-After asks.",
+			RunE: func(c *cobra.Command, args []string) error {
+				body, err := readFile(args[0], c.InOrStdin())
+				if err != nil {
+					return coded{exitUsage, err}
+				}
+				return call(c.OutOrStdout(), "POST", "http://"+server+"/v2/runs", body)
+			},
+		},
+		&cobra.Command{
+			Use: "get ID", Short: "Show what has become of a job", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				return call(c.OutOrStdout(), "GET", "http://"+server+"/v2/runs/"+args[0], nil)
+			},
+		},
+		&cobra.Command{
+			Use: "cancel ID", Short: "Cancel a job", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				return call(c.OutOrStdout(), "POST", "http://"+server+"/v2/runs/"+args[0]+"/abort", []byte("{}"))
+			},
+		},
+	)
+	return job
+}
+
+func readFile(name string, in io.Reader) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(io.LimitReader(in, 1<<20))
+	}
+	return os.ReadFile(name)
+}
+
+// call sends a request, again while the service asks to come back, for up to a minute.
+func call(out io.Writer, method, url string, body []byte) error {
+	end := time.Now().Add(time.Minute)
+	for {
+		status, answer, wait, err := once(method, url, body)
+		if err == nil && status != 429 && status < 500 {
+			var pretty bytes.Buffer
+			if json.Indent(&pretty, answer, "", "  ") != nil {
+				pretty.Write(answer)
+			}
+			fmt.Fprintln(out, pretty.String())
+			switch {
+			case status < 300:
+				return nil
+			case status == 400 || status == 422:
+				return coded{exitRefused, fmt.Errorf("refused with status %d", status)}
+			default:
+				return coded{exitFailed, fmt.Errorf("status %d", status)}
+			}
+		}
+		if err == nil {
+			err = fmt.Errorf("status %d: %s", status, bytes.TrimSpace(answer))
+		}
+		if time.Now().Add(wait).After(end) {
+			return coded{exitFailed, fmt.Errorf("given up after a minute: %w", err)}
+		}
+		time.Sleep(wait)
+	}
+}
+
+func once(method, url string, body []byte) (status int, answer []byte, wait time.Duration, err error) {
+	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer func() { fasthttp.ReleaseRequest(q); fasthttp.ReleaseResponse(p) }()
+	q.SetRequestURI(url)
+	q.Header.SetMethod(method)
+	if body != nil {
+		q.Header.SetContentType("application/json")
+		q.SetBody(body)
+	}
+	wait = time.Second
+	if err = fasthttp.DoDeadline(q, p, time.Now().Add(5*time.Second)); err != nil {
+		return 0, nil, wait, err
+	}
+	if s, e := time.ParseDuration(string(p.Header.Peek("Retry-After")) + "s"); e == nil && s > wait {
+		wait = min(s, 30*time.Second)
+	}
+	return p.StatusCode(), append([]byte(nil), p.Body()...), wait, nil
+}
--- /dev/null
+++ b/internal/capacity/capacity.go
@@ -0,0 +1,483 @@
+// Package capacity rents and returns machines: what the waiting work needs beyond the
+// machines at hand, given how long a new one takes to boot. It reads the cloud's list,
+// deletes machines that never come up and replaces those that died.
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math"
+	"net/url"
+	"sort"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/fleet"
+	"github.com/harewalk/harewalk/internal/httpio"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/planner"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+// MachineType is a type as the cloud offers it.
+type MachineType struct {
+	Name    string   `json:"name"`
+	CPUs    float64  `json:"cpus"`
+	GPUs    float64  `json:"accelerators"`
+	Mem     float64  `json:"memory_gb"`
+	CacheGB float64  `json:"cache_gb"`
+	FetchGB float64  `json:"fetch_gb_per_s"`
+	Price   float64  `json:"price"`
+	Spot    float64  `json:"low_price"`
+	BootS   float64  `json:"ready_s"`
+	Zones   []string `json:"meadows"`
+}
+
+// Size is what a machine of the type has.
+func (t MachineType) Size() planner.Size { return planner.Size{CPUs: t.CPUs, GPUs: t.GPUs, Mem: t.Mem} }
+
+// ParseTypes reads the cloud's answer about its types.
+func ParseTypes(raw []byte) ([]MachineType, error) {
+	var b struct {
+		Types []MachineType `json:"builds"`
+	}
+	if err := json.Unmarshal(raw, &b); err != nil {
+		return nil, err
+	}
+	if len(b.Types) == 0 {
+		return nil, fmt.Errorf("no machine types")
+	}
+	return b.Types, nil
+}
+
+// listed is one machine in the cloud's list.
+type listed struct {
+	Name  string  `json:"name_id"`
+	Addr  string  `json:"address"`
+	Type  string  `json:"build"`
+	Zone  string  `json:"meadow"`
+	Spot  bool    `json:"stray"`
+	State string  `json:"stance"`
+	AgeS  float64 `json:"age_s"`
+}
+
+const (
+	booting = "starting"
+	failed  = "failed"
+)
+
+// Cloud sends requests to the cloud within its rate.
+type Cloud struct {
+	addr   string
+	send   httpio.Sender
+	now    func() time.Duration
+	budget *store.Budget
+}
+
+// NewCloud makes a client with a share of the cloud's rate.
+func NewCloud(addr string, send httpio.Sender, now func() time.Duration, rps float64) *Cloud {
+	return &Cloud{addr: addr, send: send, now: now, budget: store.NewBudget(rps)}
+}
+
+func (c *Cloud) call(method, path string, body any, done func(httpio.Response)) bool {
+	if !c.budget.Has(c.now(), 1, store.Safety) {
+		return false
+	}
+	c.budget.Take(1)
+	var raw []byte
+	if body != nil {
+		raw, _ = json.Marshal(body)
+	}
+	c.send.Send(c.addr, httpio.Request{Method: method, Path: path, Body: raw, Timeout: 5 * time.Second}, done)
+	return true
+}
+
+// Types asks for the machine types.
+func (c *Cloud) Types(done func(raw []byte, types []MachineType)) bool {
+	return c.call("GET", "/machine_types", nil, func(r httpio.Response) {
+		if r.Err != nil || r.Status != 200 {
+			done(nil, nil)
+			return
+		}
+		types, err := ParseTypes(r.Body)
+		if err != nil {
+			done(nil, nil)
+			return
+		}
+		done(r.Body, types)
+	})
+}
+
+// offer is a kind of machine that can be asked for.
+type offer struct {
+	typ, zone int32
+	spot      bool
+}
+
+// boot is a machine that was rented and has not reported yet.
+type boot struct {
+	offer
+	since time.Duration
+}
+
+// Manager rents for one term.
+type Manager struct {
+	Settings *config.Settings
+	Cloud    *Cloud
+	Fleet    *fleet.Fleet
+	Door     *jobs.Door
+	Types    func() []MachineType
+	Term     uint64
+
+	claims    uint64
+	boots     map[string]*boot
+	refused   map[offer]time.Duration
+	renting   bool
+	listing   bool
+	returning bool
+	nextList  time.Duration
+	nextRent  time.Duration
+	page      string
+	gathered  []listed
+	toReturn  map[string]string // name -> cause
+	listedAt  time.Duration
+}
+
+// New starts a manager for a term.
+func New(s *config.Settings, c *Cloud, f *fleet.Fleet, d *jobs.Door, types func() []MachineType, term uint64) *Manager {
+	return &Manager{Settings: s, Cloud: c, Fleet: f, Door: d, Types: types, Term: term,
+		boots: map[string]*boot{}, refused: map[offer]time.Duration{}, toReturn: map[string]string{}}
+}
+
+// Tick does what is due. steady tells that this controller has had authority, and so
+// has heard every worker that could reach it, for long enough to judge silence.
+func (c *Manager) Tick(now time.Duration, steady bool) {
+	if !c.listing && now >= c.nextList {
+		c.list(now)
+	}
+	c.judge(now, steady)
+	c.giveBack(now)
+	// The list must have been read once, or machines already at hand are rented again.
+	if c.listedAt > 0 && !c.renting && now >= c.nextRent {
+		c.nextRent = now + 700*time.Millisecond
+		c.rent(now)
+	}
+}
+
+func (c *Manager) list(now time.Duration) {
+	path := "/machines?limit=500"
+	if c.page != "" {
+		path += "&since=" + url.QueryEscape(c.page)
+	}
+	c.listing = c.Cloud.call("GET", path, nil, func(r httpio.Response) {
+		c.listing = false
+		at := c.Cloud.now()
+		var b struct {
+			Machines []listed `json:"dens"`
+			More     bool     `json:"has_next"`
+		}
+		if r.Err != nil || r.Status != 200 || json.Unmarshal(r.Body, &b) != nil {
+			c.page, c.gathered, c.nextList = "", nil, at+time.Second
+			return
+		}
+		c.gathered = append(c.gathered, b.Machines...)
+		if b.More && len(b.Machines) > 0 {
+			c.page, c.nextList = b.Machines[len(b.Machines)-1].Name, at
+			return
+		}
+		all := c.gathered
+		c.page, c.gathered = "", nil
+		c.nextList = at + config.Seconds(max(2, c.Settings.Params.Cloud.ListLagS/2))
+		c.take(at, all)
+	})
+}
+
+// take compares a list with what is known.
+func (c *Manager) take(now time.Duration, all []listed) {
+	c.listedAt = now
+	lag := config.Seconds(2*c.Settings.Params.Cloud.ListLagS + 2)
+	seen := map[string]bool{}
+	for _, l := range all {
+		seen[l.Name] = true
+		if m := c.Fleet.Find(l.Name); m != nil && m.Condition == fleet.Gone {
+			continue // the list lags
+		}
+		switch l.State {
+		case failed:
+			m := c.Fleet.Machine(now, l.Name)
+			c.Fleet.Describe(m, l.Addr, l.Type, l.Zone, l.Spot)
+			c.Fleet.Returned(now, m, "failed")
+			c.toReturn[l.Name] = "failed"
+			delete(c.boots, l.Name)
+		case booting:
+			m := c.Fleet.Find(l.Name)
+			if m != nil && m.Session > 0 {
+				continue
+			}
+			b := c.boots[l.Name]
+			if b == nil {
+				b = &boot{offer: offer{c.Door.Types.Index(l.Type), c.Door.Zones.Index(l.Zone), l.Spot}}
+				c.boots[l.Name] = b
+			}
+			b.since = now - config.Seconds(l.AgeS)
+		default:
+			m := c.Fleet.Machine(now, l.Name)
+			if m.Type == jobs.None {
+				c.Fleet.Describe(m, l.Addr, l.Type, l.Zone, l.Spot)
+			}
+			delete(c.boots, l.Name)
+		}
+	}
+	for name, b := range c.boots {
+		if !seen[name] && now-b.since > lag+20*time.Second {
+			delete(c.boots, name)
+		}
+	}
+	for _, m := range c.Fleet.Machines() {
+		if !seen[m.Name] && m.Condition == fleet.Lost && now-m.Heard > lag+10*time.Second {
+			c.Fleet.Returned(now, m, "no longer listed")
+		}
+	}
+}
+
+// judge finds machines that should go: boots that never come up, silent and faulty
+// machines, and idle ones where money counts.
+func (c *Manager) judge(now time.Duration, steady bool) {
+	for name, b := range c.boots {
+		if m := c.Fleet.Find(name); m != nil && m.Session > 0 {
+			delete(c.boots, name)
+			continue
+		}
+		// Some take several times as long as usual; far beyond that it is one of the
+		// few that never come up.
+		if t := c.typ(b.typ); t != nil && now-b.since > config.Seconds(max(5*t.BootS, 120)) {
+			c.toReturn[name] = "never came up"
+		}
+	}
+	up, silent := 0, 0
+	limit := config.Seconds(c.Settings.Operator.SilentS)
+	for _, m := range c.Fleet.Machines() {
+		if m.Condition == fleet.Acting || m.Condition == fleet.Known {
+			up++
+			if now-m.Heard > limit {
+				silent++
+			}
+		}
+	}
+	// Many silent at once speak for a cut between us and them, not for their death.
+	trust := steady && silent > 0 && silent <= max(1, up/4)
+	for _, m := range c.Fleet.Machines() {
+		quiet := now - m.Heard
+		switch m.Condition {
+		case fleet.Acting, fleet.Known:
+			switch {
+			case quiet > limit && trust:
+				c.toReturn[m.Name] = "silent"
+			case m.Condition == fleet.Acting && c.Fleet.Faulty(m):
+				c.Fleet.Retire(m, "faulty")
+			case m.Condition == fleet.Acting && c.Settings.MoneyCounts() && len(m.On) == 0 && m.Planned == 0 &&
+				now-m.IdleSince > config.Seconds(c.Settings.Operator.IdleS):
+				c.Fleet.Retire(m, "idle")
+			}
+		case fleet.Lost:
+			if steady && quiet > 2*limit && silent <= max(1, up/4) {
+				c.toReturn[m.Name] = "lost"
+			}
+		}
+		if m.Retiring && m.Condition == fleet.Noticed && len(m.On) == 0 {
+			c.toReturn[m.Name] = "retired"
+		}
+	}
+}
+
+func (c *Manager) giveBack(now time.Duration) {
+	if c.returning || len(c.toReturn) == 0 {
+		return
+	}
+	var names []string
+	for n := range c.toReturn {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	names = names[:min(len(names), 100)]
+	c.returning = c.Cloud.call("POST", "/machines/return", map[string]any{"dens": names}, func(r httpio.Response) {
+		c.returning = false
+		if r.Err != nil || r.Status != 200 {
+			return
+		}
+		at := c.Cloud.now()
+		for _, n := range names {
+			slog.Info("machine returned", "name", n, "cause", c.toReturn[n], "term", c.Term)
+			if m := c.Fleet.Find(n); m != nil {
+				c.Fleet.Returned(at, m, c.toReturn[n])
+			}
+			delete(c.toReturn, n)
+			delete(c.boots, n)
+		}
+	})
+}
+
+func (c *Manager) typ(ix int32) *MachineType {
+	name := c.Door.Types.Name(ix)
+	for i, t := range c.Types() {
+		if t.Name == name {
+			return &c.Types()[i]
+		}
+	}
+	return nil
+}
+
+// bin is a machine, at hand or booting, with the work it can do within a horizon.
+type bin struct {
+	offer
+	room planner.Size // resource-seconds left
+}
+
+func times(s planner.Size, k float64) planner.Size {
+	return planner.Size{CPUs: s.CPUs * k, GPUs: s.GPUs * k, Mem: s.Mem * k}
+}
+
+// rent fits the unfinished work into the machines at hand, as resource-seconds over the
+// time that a new machine would need to become useful, and rents for what is left over.
+func (c *Manager) rent(now time.Duration) {
+	types := c.Types()
+	if len(types) == 0 || !c.Fleet.Loaded() {
+		return
+	}
+	money := c.Settings.MoneyCounts()
+	boot := 0.0
+	for _, t := range types {
+		boot = max(boot, t.BootS)
+	}
+	horizon := boot
+	if !money {
+		horizon = boot / 2
+	}
+	var bins []*bin
+	total := len(c.boots)
+	for _, m := range c.Fleet.Machines() {
+		if m.Condition == fleet.Lost || m.Condition == fleet.Gone {
+			continue
+		}
+		total++
+		if m.Condition == fleet.Noticed || m.Type == jobs.None || m.Size == (planner.Size{}) {
+			continue
+		}
+		b := &bin{offer{m.Type, m.Zone, m.Spot}, times(m.Size, horizon)}
+		for _, u := range c.Fleet.Running(now, m) {
+			b.room = b.room.Sub(times(u.Size, min(u.Left, horizon)))
+		}
+		bins = append(bins, b)
+	}
+	for _, bt := range c.boots {
+		// One that is far overdue is not counted on any more.
+		if t := c.typ(bt.typ); t != nil && now-bt.since < config.Seconds(2.2*t.BootS+10) {
+			bins = append(bins, &bin{bt.offer, times(t.Size(), horizon)})
+		}
+	}
+	for _, d := range c.Fleet.Demand(now) {
+		left := d.Tasks
+		each := min(max(d.Seconds, 1), horizon)
+		if d.Whole {
+			each = horizon
+		}
+		need := times(d.Job.Spec.Size(), each)
+		for _, b := range bins {
+			if left > 0 && d.Job.Allows(b.typ, b.zone, b.spot) {
+				n := min(left, need.Copies(b.room))
+				if n > 0 {
+					b.room = b.room.Sub(times(need, float64(n)))
+					left -= n
+				}
+			}
+		}
+		if left <= 0 {
+			continue
+		}
+		o, ok := c.choose(now, d.Job)
+		if !ok {
+			continue
+		}
+		t := c.typ(o.typ)
+		lanes := max(1, need.Copies(times(t.Size(), horizon)))
+		n := int(math.Ceil(float64(left) / float64(lanes)))
+		n = min(n, 10, c.Settings.Operator.MaxMachines-total)
+		if n <= 0 {
+			continue
+		}
+		c.ask(now, o, n)
+		return
+	}
+}
+
+// choose finds the offer with the lowest price for a job's task that was not refused
+// lately; where money does not count, cheap is still preferred.
+func (c *Manager) choose(now time.Duration, j *jobs.Job) (offer, bool) {
+	best, price, ok := offer{}, math.Inf(1), false
+	zones := map[int32]int{}
+	for _, m := range c.Fleet.Machines() {
+		if m.Condition == fleet.Acting {
+			zones[m.Zone]++
+		}
+	}
+	for _, t := range c.Types() {
+		n := j.Spec.Size().Copies(t.Size())
+		if n <= 0 {
+			continue
+		}
+		ty := c.Door.Types.Index(t.Name)
+		for _, z := range t.Zones {
+			zone := c.Door.Zones.Index(z)
+			for _, spot := range []bool{true, false} {
+				o := offer{ty, zone, spot}
+				p := t.Price
+				if spot {
+					p = t.Spot
+				}
+				if p <= 0 || !j.Allows(ty, zone, spot) || now < c.refused[o] {
+					continue
+				}
+				// A task must not take a GPU machine it has no use for, and zones are
+				// filled evenly so that no single cut takes all.
+				per := p/float64(n) + 1e-6*float64(zones[zone])
+				if per < price {
+					best, price, ok = o, per, true
+				}
+			}
+		}
+	}
+	return best, ok
+}
+
+func (c *Manager) ask(now time.Duration, o offer, n int) {
+	c.claims++
+	claim := fmt.Sprintf("r-%d-%d", c.Term, c.claims)
+	body := map[string]any{"claim": claim, "build": c.Door.Types.Name(o.typ), "meadow": c.Door.Zones.Name(o.zone),
+		"stray": o.spot, "how_many": n}
+	c.renting = c.Cloud.call("POST", "/machines", body, func(r httpio.Response) {
+		c.renting = false
+		at := c.Cloud.now()
+		var b struct {
+			Machines []string `json:"dens"`
+		}
+		switch {
+		case r.Err == nil && r.Status == 200 && json.Unmarshal(r.Body, &b) == nil:
+			for _, name := range b.Machines {
+				c.boots[name] = &boot{o, now}
+			}
+			if len(b.Machines) < n {
+				c.refused[o] = at + 20*time.Second
+			}
+			slog.Info("machines rented", "claim", claim, "type", c.Door.Types.Name(o.typ), "zone", c.Door.Zones.Name(o.zone),
+				"spot", o.spot, "asked", n, "got", len(b.Machines), "term", c.Term)
+		case r.Err == nil && r.Status == 429:
+		default:
+			// Refused, in trouble or open: if machines do come of it, the list shows them.
+			c.refused[o] = at + 20*time.Second
+		}
+	})
+	if c.renting {
+		c.nextRent = now + 200*time.Millisecond
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,241 @@
+// Package config reads the platform's JSON settings and the operators' own HCL file,
+// validates both and derives the defaults the other slices need.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/hashicorp/hcl/v2/hclsimple"
+)
+
+// Peer is another controller.
+type Peer struct {
+	Node string `json:"node" validate:"required"`
+	Zone string `json:"site"`
+	Addr string `json:"endpoint" validate:"required,hostport"`
+}
+
+// Team carries a team's guarantee and limit; 0 means none set.
+type Team struct {
+	Name    string  `json:"name" validate:"required"`
+	CPUs    float64 `json:"cpus" validate:"gte=0"`
+	CPUsMax float64 `json:"cpus_max" validate:"gte=0"`
+	GPUs    float64 `json:"gpus" validate:"gte=0"`
+	GPUsMax float64 `json:"gpus_max" validate:"gte=0"`
+}
+
+// Objective is one aim of the operator.
+type Objective struct {
+	Kind    string  `json:"kind"`
+	Class   string  `json:"class"`
+	WithinS float64 `json:"within_s"`
+	Share   float64 `json:"share"`
+	Times   float64 `json:"times"`
+	Most    float64 `json:"most"`
+}
+
+// Workers holds the timing rules of the workers.
+type Workers struct {
+	ReportS   float64 `json:"report_s" validate:"gt=0"`
+	LeaseS    float64 `json:"lease_s" validate:"gt=0"`
+	GangWaitS float64 `json:"gang_wait_s" validate:"gt=0"`
+	GangPeerS float64 `json:"gang_peer_s" validate:"gt=0"`
+	CancelS   float64 `json:"cancel_s" validate:"gt=0"`
+}
+
+// State holds the limits of the state service.
+type State struct {
+	RPS      float64 `json:"rps" validate:"gt=0"`
+	WriteRPS float64 `json:"write_rps" validate:"gt=0"`
+	ValueKB  float64 `json:"value_kb" validate:"gt=0"`
+	TxnOps   int     `json:"txn_ops" validate:"gt=0"`
+}
+
+// Cloud holds the limits of the cloud interface.
+type Cloud struct {
+	RPS      float64 `json:"rps" validate:"gt=0"`
+	ListLagS float64 `json:"list_lag_s" validate:"gte=0"`
+}
+
+// Limits says how large a machine the controller itself runs on.
+type Limits struct {
+	Cores   float64 `json:"cores" validate:"gte=0"`
+	MemMB   float64 `json:"mem_mb" validate:"gte=0"`
+	Sockets int     `json:"sockets" validate:"gte=0"`
+}
+
+// Services are the addresses of the outside systems.
+type Services struct {
+	Cloud string `json:"cloud" validate:"required,hostport"`
+	State string `json:"state" validate:"required,hostport"`
+}
+
+// Params is the part of the settings that is equal on all controllers.
+type Params struct {
+	Zones      []string    `json:"zones"`
+	Teams      []Team      `json:"teams" validate:"dive"`
+	Objectives []Objective `json:"objectives"`
+	Workers    Workers     `json:"workers"`
+	State      State       `json:"state"`
+	Cloud      Cloud       `json:"cloud"`
+	Limits     Limits      `json:"machine_limits"`
+	SkewMS     float64     `json:"skew_ms" validate:"gte=0"`
+}
+
+// Settings is the whole platform file, with the operators' settings added.
+type Settings struct {
+	Node     string   `json:"node" validate:"required"`
+	Zone     string   `json:"site"`
+	Public   string   `json:"public_addr" validate:"required,hostport"`
+	Back     string   `json:"back" validate:"required,hostport"`
+	Peers    []Peer   `json:"others" validate:"dive"`
+	Services Services `json:"services"`
+	Params   Params   `json:"params"`
+
+	// Operator is never read from the platform's file.
+	Operator Operator `json:"-"`
+}
+
+// Operator holds the operators' own settings, all optional, written in HCL.
+type Operator struct {
+	// HoldTTLMS is the life of a controller's hold without renewal.
+	HoldTTLMS int `hcl:"hold_ttl_ms,optional" validate:"gte=1000,lte=600000"`
+	// SilentS is how long a machine may be silent before it is given back.
+	SilentS float64 `hcl:"silent_s,optional" validate:"gte=0"`
+	// IdleS is how long a machine may be idle before it is returned, where money counts.
+	IdleS float64 `hcl:"idle_s,optional" validate:"gte=0"`
+	// MaxMachines bounds how many machines are rented in all.
+	MaxMachines int `hcl:"max_machines,optional" validate:"gte=1"`
+	// NetworkFactor scales the planner's q.
+	NetworkFactor float64 `hcl:"network_factor,optional" validate:"gte=0"`
+}
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		for _, tag := range []string{"json", "hcl"} {
+			if n, _, _ := strings.Cut(f.Tag.Get(tag), ","); n != "" && n != "-" {
+				return n
+			}
+		}
+		return f.Name
+	})
+	// The platform names hosts by address only, but a host name is no mistake.
+	_ = v.RegisterValidation("hostport", func(fl validator.FieldLevel) bool {
+		host, port, ok := strings.Cut(fl.Field().String(), ":")
+		return ok && host != "" && port != "" && strings.Trim(port, "0123456789") == ""
+	})
+	return v
+}
+
+// explain turns a validator's error into one line that names the setting.
+func explain(err error) error {
+	var fields validator.ValidationErrors
+	if errors.As(err, &fields) && len(fields) > 0 {
+		f := fields[0]
+		_, path, _ := strings.Cut(f.Namespace(), ".")
+		rule := f.Tag()
+		if f.Param() != "" {
+			rule += " " + f.Param()
+		}
+		return fmt.Errorf("setting %q: value %v breaks the rule %q", path, f.Value(), rule)
+	}
+	return err
+}
+
+// Load reads the platform's file and, if hclPath is not empty, the operators' file.
+func Load(path, hclPath string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s, err := Parse(raw)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if hclPath != "" {
+		if err := hclsimple.DecodeFile(hclPath, nil, &s.Operator); err != nil {
+			return nil, fmt.Errorf("operators' settings: %w", err)
+		}
+		s.derive()
+		if err := newValidator().Struct(&s.Operator); err != nil {
+			return nil, fmt.Errorf("%s: %w", hclPath, explain(err))
+		}
+	}
+	return s, nil
+}
+
+// Parse reads and validates the platform's settings.
+func Parse(raw []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := json.Unmarshal(raw, s); err != nil {
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) {
+			return nil, fmt.Errorf("setting %q: %s is not a %s", te.Field, te.Value, te.Type)
+		}
+		return nil, fmt.Errorf("settings are not valid JSON: %w", err)
+	}
+	s.derive()
+	if err := newValidator().Struct(s); err != nil {
+		return nil, explain(err)
+	}
+	seen := map[string]bool{}
+	for _, t := range s.Params.Teams {
+		if seen[t.Name] {
+			return nil, fmt.Errorf("setting \"params.teams\": team %q is named twice", t.Name)
+		}
+		seen[t.Name] = true
+	}
+	return s, nil
+}
+
+// derive fills what the operators left open from the platform's settings.
+func (s *Settings) derive() {
+	o := &s.Operator
+	w := s.Params.Workers
+	if o.HoldTTLMS == 0 {
+		// A third of the worker lease leaves room for a takeover and a fenced
+		// report before any lease ends.
+		o.HoldTTLMS = max(2000, min(6000, int(w.LeaseS*1000/3)))
+	}
+	if o.SilentS == 0 {
+		o.SilentS = min(w.LeaseS, 3*w.ReportS+4)
+	}
+	if o.IdleS == 0 {
+		o.IdleS = 45
+	}
+	if o.MaxMachines == 0 {
+		o.MaxMachines = 500
+	}
+	if o.NetworkFactor == 0 {
+		o.NetworkFactor = 1
+	}
+}
+
+// HoldTTL is the life of a hold.
+func (s *Settings) HoldTTL() time.Duration {
+	return time.Duration(s.Operator.HoldTTLMS) * time.Millisecond
+}
+
+// Lease is the workers' lease.
+func (s *Settings) Lease() time.Duration { return Seconds(s.Params.Workers.LeaseS) }
+
+// MoneyCounts tells whether an objective measures money.
+func (s *Settings) MoneyCounts() bool {
+	for _, o := range s.Params.Objectives {
+		if o.Kind == "price" || o.Kind == "useful" {
+			return true
+		}
+	}
+	return false
+}
+
+// Seconds turns the wire's decimal seconds into a duration.
+func Seconds(f float64) time.Duration { return time.Duration(f * float64(time.Second)) }
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,439 @@
+// Package controller puts the slices together around one event loop.
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/capacity"
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/fleet"
+	"github.com/harewalk/harewalk/internal/httpio"
+	"github.com/harewalk/harewalk/internal/intake"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/membership"
+	"github.com/harewalk/harewalk/internal/peers"
+	"github.com/harewalk/harewalk/internal/quota"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+// hot is the prefix of the keys that every controller follows.
+const (
+	hot      = "h/"
+	typesKey = membership.Prefix + "types"
+)
+
+// The leader writes plans and reads more; the others share what is left.
+const (
+	leaderPart   = 0.5
+	followerPart = 0.2
+)
+
+// Controller is one process of the service.
+type Controller struct {
+	s     *config.Settings
+	loop  *Loop
+	rng   *rand.Rand
+	send  httpio.Sender
+	store *store.Client
+	mir   *store.Mirror
+	mem   *membership.Membership
+	book  *jobs.Book
+	in    *intake.Intake
+	cloud *capacity.Cloud
+	quota *quota.Ledger
+
+	types    []capacity.MachineType
+	byType   map[int32]*fleet.Type
+	typesRaw string
+	typesAt  time.Duration
+	askTypes bool
+	typesVer uint64
+
+	// While leading.
+	fleet   *fleet.Fleet
+	cap     *capacity.Manager
+	loading bool
+	loadAt  time.Duration
+	steady  time.Duration // since when authority was not interrupted
+	had     bool
+
+	links    []*peers.Link
+	status   map[string]heard
+	statusAt time.Duration
+}
+
+// heard is the last status of another controller.
+type heard struct {
+	peers.Status
+	at time.Duration
+}
+
+// New builds a controller that is not yet listening.
+func New(s *config.Settings) *Controller {
+	if mb := s.Params.Limits.MemMB; mb > 0 {
+		// Stay clear of the limit at which the process would be ended.
+		debug.SetMemoryLimit(int64(mb * 0.7 * (1 << 20)))
+	}
+	start := time.Now()
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(s.Node))
+	c := &Controller{s: s, loop: NewLoop(start), status: map[string]heard{}, byType: map[int32]*fleet.Type{},
+		rng: rand.New(rand.NewPCG(seed.Sum64(), uint64(start.UnixNano())))}
+	c.send = httpio.New(64, c.loop.Post)
+	c.store = store.New(s.Services.State, c.send, c.loop.Now, c.share(followerPart), s.Params.State.TxnOps)
+	c.book = jobs.NewBook(start.UnixMilli())
+	c.quota = quota.New(s.Params.Teams, c.book.Door.Teams.Index)
+	c.cloud = capacity.NewCloud(s.Services.Cloud, c.send, c.loop.Now, s.Params.Cloud.RPS*0.7)
+	c.mir = store.NewMirror(c.store, hot)
+	c.mem = membership.New(membership.Config{Node: s.Node, Public: s.Public, TTL: s.HoldTTL(), Rng: c.rng,
+		OnLead: c.lead, OnLose: c.lose}, c.store, c.mir.Fresh)
+	c.mir.OnItem = func(it store.Item) { c.item(c.loop.Now(), it) }
+	c.mir.OnDrop = func(k string, v uint64) { c.mem.Drop(c.loop.Now(), k, v) }
+	c.mir.OnReset = func(items []store.Item) { c.mem.Reset(c.loop.Now(), items) }
+	c.mir.OnSynced = func() { c.mem.Synced(c.loop.Now()) }
+	c.in = intake.New(intake.Env{Store: c.store, Book: c.book, Admit: c.admit, Ready: c.mir.Synced,
+		Counts: c.counts, Learned: c.learned, TxnOps: s.Params.State.TxnOps})
+	return c
+}
+
+func (c *Controller) share(part float64) store.Share {
+	return store.Share{RPS: c.s.Params.State.RPS * part, WriteRPS: c.s.Params.State.WriteRPS * part}
+}
+
+// Run listens and serves until the process is ended.
+func (c *Controller) Run() error {
+	public, err := net.Listen("tcp4", c.s.Public)
+	if err != nil {
+		return fmt.Errorf("setting \"public_addr\": %w", err)
+	}
+	back, err := net.Listen("tcp4", c.s.Back)
+	if err != nil {
+		return fmt.Errorf("setting \"back\": %w", err)
+	}
+	for _, p := range c.s.Peers {
+		c.links = append(c.links, peers.NewLink(p.Addr))
+	}
+	go peers.Serve(back, func(s peers.Status) {
+		c.loop.Offer(func() { c.status[s.Node] = heard{s, c.loop.Now()}; c.display(s) })
+	})
+	fail := make(chan error, 1)
+	go func() {
+		fail <- intake.Serve(public, intake.Routes{Post: c.loop.Offer, Now: c.loop.Now, Intake: c.in, Up: c.up,
+			Report: c.report, MaxConns: c.s.Params.Limits.Sockets * 7 / 10})
+	}()
+	slog.Info("serving", "node", c.s.Node, "public", c.s.Public, "hold_ms", c.s.Operator.HoldTTLMS)
+	go c.loop.Run(50*time.Millisecond, c.tick)
+	return <-fail
+}
+
+// item takes over a followed key.
+func (c *Controller) item(now time.Duration, it store.Item) {
+	switch {
+	case strings.HasPrefix(it.Key, jobs.Prefix):
+		c.learned(now, it)
+	case it.Key == typesKey:
+		if types, err := capacity.ParseTypes(it.Value); err == nil && it.Version > c.typesVer {
+			c.typesVer = it.Version
+			c.setTypes(string(it.Value), types)
+		}
+	default:
+		c.mem.Item(now, it)
+	}
+}
+
+// learned takes over a job's record, from wherever it was read.
+func (c *Controller) learned(now time.Duration, it store.Item) {
+	j, changed, err := c.book.Apply(strings.TrimPrefix(it.Key, jobs.Prefix), it.Value, it.Version)
+	if err != nil {
+		slog.Error("a job's record cannot be read", "key", it.Key, "cause", err)
+		return
+	}
+	if changed && c.fleet != nil {
+		c.fleet.Changed(now, j)
+	}
+}
+
+func (c *Controller) setTypes(raw string, types []capacity.MachineType) {
+	c.typesRaw, c.types = raw, types
+	for _, t := range types {
+		c.byType[c.book.Door.Types.Index(t.Name)] = &fleet.Type{Size: t.Size(), CacheGB: t.CacheGB, FetchGB: t.FetchGB,
+			BootS: t.BootS, Price: t.Price, Spot: t.Spot}
+	}
+}
+
+// admit tells whether a job can ever run.
+func (c *Controller) admit(s *jobs.Spec) (ok, known bool, why string) {
+	team := c.book.Door.Teams.Index(s.Team)
+	if c.quota.Team(team) == nil {
+		return false, true, "unknown team"
+	}
+	if len(c.types) == 0 {
+		return false, false, "the machine types are not known yet"
+	}
+	n := 1
+	if s.Kind != jobs.Array {
+		n = s.Tasks
+	}
+	if !c.quota.Ever(team, s.Size(), n) {
+		return false, true, "the job needs more than the team's limit"
+	}
+	for _, t := range c.types {
+		if fitsType(s, t) {
+			return true, true, ""
+		}
+	}
+	return false, true, "a task fits no allowed machine type"
+}
+
+func fitsType(s *jobs.Spec, t capacity.MachineType) bool {
+	allowed := s.Types == nil
+	for _, n := range s.Types {
+		allowed = allowed || n == t.Name
+	}
+	zone := s.Zone == nil
+	for _, z := range t.Zones {
+		zone = zone || z == *s.Zone
+	}
+	return allowed && zone && s.Size().Fits(t.Size())
+}
+
+func (c *Controller) counts(j *jobs.Job) (done, running int) {
+	if c.fleet != nil && j.Tasks != nil {
+		return c.fleet.Counts(j)
+	}
+	return j.DoneN, j.RunningN
+}
+
+// display takes over the leader's counts.
+func (c *Controller) display(s peers.Status) {
+	if c.fleet != nil || !s.Leading || s.Term < c.mem.Leader().Term {
+		return
+	}
+	for _, n := range s.Counts {
+		if j := c.book.Get(n.Job); j != nil && !j.Stance.Terminal() {
+			j.DoneN, j.RunningN = int(n.Done), int(n.Running)
+		}
+	}
+}
+
+// up tells the load balancer whether users are well served here. When the state service
+// answers nobody, this controller is as good as any other.
+func (c *Controller) up() bool {
+	now := c.loop.Now()
+	if !c.mir.Synced() || len(c.types) == 0 {
+		return false
+	}
+	if now-c.store.LastOK() < 3*time.Second {
+		return true
+	}
+	for _, h := range c.status {
+		if h.StateOK && now-h.at < 3*time.Second {
+			return false
+		}
+	}
+	return true
+}
+
+// report answers a worker.
+func (c *Controller) report(now time.Duration, r *fleet.Report, reply func(intake.Reply)) {
+	no := intake.Reply{Status: 503, Body: struct{}{}}
+	if c.mem.State() == membership.Leading && c.fleet != nil {
+		if !c.mem.Authority(now) || !c.fleet.Loaded() {
+			reply(no)
+			return
+		}
+		a, v := c.fleet.Report(now, r)
+		switch v {
+		case fleet.Accept:
+			reply(intake.Reply{Status: 200, Body: a})
+		case fleet.Deposed:
+			reply(no)
+			slog.Info("a worker has seen a higher token", "machine", r.Machine, "token", r.Token, "term", c.mem.Term())
+		default:
+			reply(no)
+		}
+		return
+	}
+	type keeper struct {
+		Keeper string `json:"keeper,omitempty"`
+	}
+	reply(intake.Reply{Status: 421, Body: keeper{c.mem.Owner(r.Machine)}})
+}
+
+// lead starts a term.
+func (c *Controller) lead(now time.Duration, term uint64) {
+	c.store.SetShare(c.share(leaderPart))
+	c.book.Recall()
+	c.fleet = fleet.New(fleet.Env{
+		Settings: c.s, Book: c.book, Rng: c.rng, TxnOps: c.s.Params.State.TxnOps - 1, Now: c.loop.Now, Learned: c.learned,
+		Types: func(ix int32) *fleet.Type { return c.byType[ix] },
+		Room:  func(n int) bool { return c.store.Room(n, store.Safety) },
+		Commit: func(t store.Txn, done func(store.Result)) {
+			t.If = append([]store.Cond{c.mem.Guard()}, t.If...)
+			f := c.fleet
+			c.store.Txn(t, store.Safety, func(r store.Result) {
+				if c.fleet == f {
+					done(r)
+				}
+			})
+		},
+		Read: func(key string, done func(store.Item, error)) {
+			f := c.fleet
+			c.store.Get(key, store.Safety, func(it store.Item, err error) {
+				if c.fleet == f {
+					done(it, err)
+				}
+			})
+		},
+		Order: c.order,
+	}, term, now)
+	c.cap = capacity.New(c.s, c.cloud, c.fleet, c.book.Door, func() []capacity.MachineType { return c.types }, term)
+	c.loading, c.loadAt, c.had = false, now, false
+}
+
+// lose ends a term: nothing of its state may be used any more.
+func (c *Controller) lose(time.Duration) {
+	c.store.SetShare(c.share(followerPart))
+	c.fleet, c.cap, c.loading = nil, nil, false
+	c.book.Recall()
+}
+
+// order sends commands straight to a machine.
+func (c *Controller) order(m *fleet.Machine, o fleet.Orders, done func(*fleet.Report, bool)) {
+	body, _ := json.Marshal(o)
+	f := c.fleet
+	c.send.Send(m.Addr, httpio.Request{Method: "POST", Path: "/orders", Body: body, Timeout: 2 * time.Second}, func(r httpio.Response) {
+		if c.fleet != f {
+			return
+		}
+		if r.Err != nil || (r.Status != 200 && r.Status != 409) {
+			done(nil, r.Refused || (r.Err == nil && r.Status == 400))
+			return
+		}
+		rep, err := fleet.ParseReport(r.Body)
+		if err != nil {
+			rep = nil
+		}
+		done(rep, true)
+	})
+}
+
+// tick does what is due at a time.
+func (c *Controller) tick(now time.Duration) {
+	c.mir.Tick(now)
+	c.mem.Tick(now)
+	c.in.Tick(now)
+	c.learnTypes(now)
+	c.tell(now)
+	if c.fleet == nil {
+		return
+	}
+	if !c.fleet.Loaded() {
+		c.load(now)
+		return
+	}
+	auth := c.mem.Authority(now)
+	if auth && !c.had {
+		c.steady = now
+	}
+	c.had = auth
+	c.fleet.Tick(now, auth)
+	if auth {
+		c.cap.Tick(now, now-c.steady > config.Seconds(c.s.Operator.SilentS))
+		c.cutOff(now)
+	}
+}
+
+// cutOff hands the lead on when no worker gets through to us although there must be some.
+func (c *Controller) cutOff(now time.Duration) {
+	limit := config.Seconds(2*c.s.Params.Workers.ReportS + 4)
+	if now-c.fleet.LastReport < limit || now-c.steady < limit {
+		return
+	}
+	for _, m := range c.fleet.Machines() {
+		if m.Condition == fleet.Acting || m.Condition == fleet.Known {
+			c.mem.Resign(now, "no worker is heard")
+			return
+		}
+	}
+}
+
+// load reads the durable plans at the start of a term.
+func (c *Controller) load(now time.Duration) {
+	if c.loading || now < c.loadAt {
+		return
+	}
+	c.loading = true
+	f := c.fleet
+	c.store.List(jobs.PlanPrefix, func(items []store.Item, _ uint64, err error) {
+		if c.fleet != f {
+			return
+		}
+		at := c.loop.Now()
+		c.loading = false
+		if err != nil {
+			c.loadAt = at + 200*time.Millisecond
+			return
+		}
+		f.Load(at, items)
+	})
+}
+
+// learnTypes keeps the machine types and prices up to date; the leader stores them, so
+// that controllers that start during trouble of the cloud know them too.
+func (c *Controller) learnTypes(now time.Duration) {
+	every := 5 * time.Second
+	if len(c.types) > 0 {
+		if c.fleet == nil {
+			return
+		}
+		every = time.Minute
+	}
+	if c.askTypes || !c.mir.Synced() || (c.typesAt > 0 && now-c.typesAt < every) {
+		return
+	}
+	c.typesAt = now
+	c.askTypes = c.cloud.Types(func(raw []byte, types []capacity.MachineType) {
+		c.askTypes = false
+		if types == nil {
+			c.typesAt = c.loop.Now() - every + 2*time.Second
+			return
+		}
+		same := string(raw) == c.typesRaw
+		c.setTypes(string(raw), types)
+		if c.fleet != nil && (!same || c.typesVer == 0) {
+			t := store.Txn{If: []store.Cond{c.mem.Guard()}, Then: []store.Op{{Put: typesKey, Value: raw}}}
+			c.store.Txn(t, store.Ordinary, func(store.Result) {})
+		}
+	})
+}
+
+// tell sends the others a status.
+func (c *Controller) tell(now time.Duration) {
+	if now-c.statusAt < time.Second {
+		return
+	}
+	c.statusAt = now
+	s := peers.Status{Node: c.s.Node, Leading: c.fleet != nil, StateOK: now-c.store.LastOK() < 2500*time.Millisecond}
+	if c.fleet != nil {
+		s.Term = c.mem.Term()
+		c.book.Live(func(j *jobs.Job) {
+			if j.Tasks != nil && len(s.Counts) < 2000 {
+				d, r := c.fleet.Counts(j)
+				s.Counts = append(s.Counts, peers.Count{Job: j.ID, Done: uint32(d), Running: uint32(r)})
+			}
+		})
+	}
+	raw := peers.Encode(s)
+	for _, l := range c.links {
+		l.Send(raw)
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,451 @@
+// Package fleet is the owner's side of the workers: reports, sessions, tokens, leases and
+// commands; the placing of tasks by the planner, lane starts and stealing; and the writing
+// of the durable plan that comes before every start.
+//
+// A Fleet lives for one term of one controller. It is driven by the event loop and does
+// no I/O of its own.
+package fleet
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/planner"
+	"github.com/harewalk/harewalk/internal/quota"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+// Type is a machine type as far as placing needs it.
+type Type struct {
+	Size    planner.Size
+	CacheGB float64
+	FetchGB float64 // per second
+	BootS   float64
+	Price   float64
+	Spot    float64 // spot price, 0 if there is none
+}
+
+// Env is what a Fleet needs of its surroundings.
+type Env struct {
+	Settings *config.Settings
+	Book     *jobs.Book
+	Types    func(int32) *Type // nil while unknown
+	Rng      *rand.Rand
+	// Room tells whether a write of n operations may go out now.
+	Room func(n int) bool
+	// Commit sends one transaction of the leader, guarded by its leader key.
+	Commit func(store.Txn, func(store.Result))
+	// Read re-reads one key after an open or failed write.
+	Read func(key string, done func(store.Item, error))
+	// Order sends commands straight to a machine; ok is false if the outcome is open.
+	Order func(m *Machine, o Orders, done func(r *Report, ok bool))
+	// Learned hands on a job record that this fleet has written or re-read.
+	Learned func(now time.Duration, it store.Item)
+	// Now is the steady clock, for answers that come later than the call that asked.
+	Now func() time.Duration
+	// TxnOps bounds the operations of one transaction.
+	TxnOps int
+}
+
+// Fleet is the owner's state.
+type Fleet struct {
+	Env
+	Term    uint64
+	since   time.Duration // start of the term
+	loaded  bool
+	counter uint64
+
+	machines []*Machine
+	byName   map[string]*Machine
+	Ledger   *quota.Ledger
+
+	order  []*jobs.Job // live jobs by rank
+	rank   map[jobs.Index]int
+	within map[jobs.Index]bool
+	ranked time.Duration
+
+	classes map[int32]*classStats
+	perGPU  planner.Size // most CPU and memory that GPU jobs take per GPU
+
+	writing bool
+	retry   func(time.Duration)
+	retryAt time.Duration
+	garbage []string
+	// LastReport is when any worker was last heard.
+	LastReport time.Duration
+}
+
+// classStats corrects a class's estimates by what was seen.
+type classStats struct {
+	ratio float64 // run time against estimate
+	n     float64
+}
+
+// New starts a term at time now. Until Load has brought the durable plans nothing acts.
+func New(env Env, term uint64, now time.Duration) *Fleet {
+	f := &Fleet{Env: env, Term: term, since: now, byName: map[string]*Machine{}, rank: map[jobs.Index]int{},
+		within: map[jobs.Index]bool{}, classes: map[int32]*classStats{}, LastReport: now}
+	f.Ledger = quota.New(env.Settings.Params.Teams, env.Book.Door.Teams.Index)
+	return f
+}
+
+// Loaded tells whether the durable plans were read.
+func (f *Fleet) Loaded() bool { return f.loaded }
+
+// Machines are all machines heard of in this term.
+func (f *Fleet) Machines() []*Machine { return f.machines }
+
+// Machine finds or makes a machine by name.
+func (f *Fleet) Machine(now time.Duration, name string) *Machine {
+	if m, ok := f.byName[name]; ok {
+		return m
+	}
+	m := &Machine{Index: int32(len(f.machines)), Name: name, Type: jobs.None, Zone: jobs.None, Created: now,
+		Answered: now, Heard: now, IdleSince: now, On: map[Ref]struct{}{}, Lanes: map[jobs.Index][]int32{},
+		late: map[attempt]struct{}{}, slow: 1}
+	f.machines = append(f.machines, m)
+	f.byName[m.Name] = m
+	return m
+}
+
+// Find finds a machine by name, or nil.
+func (f *Fleet) Find(name string) *Machine { return f.byName[name] }
+
+// Describe notes what the list or a report tells of a machine.
+func (f *Fleet) Describe(m *Machine, addr, typ, zone string, spot bool) {
+	d := f.Book.Door
+	z := d.Zones.Index(zone)
+	if m.Zone == jobs.None {
+		// Recovered tasks were counted before their machine's zone was known.
+		for r := range m.On {
+			j := f.job(r.Job)
+			j.ZoneUse[jobs.None]--
+			j.ZoneUse[z]++
+		}
+	}
+	m.Addr, m.Type, m.Zone, m.Spot = addr, d.Types.Index(typ), z, spot
+	f.size(m)
+}
+
+func (f *Fleet) size(m *Machine) {
+	if t := f.typ(m); t != nil {
+		m.Size = t.Size
+	}
+}
+
+func (f *Fleet) typ(m *Machine) *Type {
+	if m.Type == jobs.None {
+		return nil
+	}
+	return f.Types(m.Type)
+}
+
+// condition is the only place where a machine's condition changes.
+func (f *Fleet) condition(m *Machine, c Condition, cause string) {
+	if m.Condition == c {
+		return
+	}
+	slog.Info("machine", "name", m.Name, "from", m.Condition.String(), "to", c.String(), "term", f.Term, "cause", cause)
+	m.Condition = c
+}
+
+// Load takes over the durable plans of earlier terms: every machine named there counts as
+// running its task until a fenced report or the end of its lease says otherwise.
+func (f *Fleet) Load(now time.Duration, items []store.Item) {
+	for _, it := range items {
+		id, no, ok := splitPlanKey(it.Key)
+		j := f.Book.Get(id)
+		if !ok || j == nil || j.Stance == jobs.Done || j.Spec == nil {
+			f.garbage = append(f.garbage, it.Key)
+			continue
+		}
+		j.Open()
+		if no >= len(j.Chunks) {
+			f.garbage = append(f.garbage, it.Key)
+			continue
+		}
+		c := j.Chunks[no]
+		on, done, err := jobs.DecodeChunk(it.Value, len(c.Durable), func(name string) int32 { return f.Machine(now, name).Index })
+		c.Version = it.Version
+		if err != nil {
+			slog.Error("a stored plan cannot be read", "key", it.Key, "cause", err)
+			continue
+		}
+		for i := range on {
+			t := int32(no*jobs.ChunkTasks + i)
+			switch {
+			case done[i]:
+				c.Durable[i] = jobs.DurablyDone
+				f.must(j.Set(t, jobs.Finished))
+			case on[i] != jobs.None:
+				c.Durable[i] = on[i]
+				j.Tasks[t].Machine = on[i]
+				j.Started = true
+				f.place(now, j, t, jobs.Recovered)
+			}
+		}
+	}
+	f.Book.Live(func(j *jobs.Job) { j.Open() })
+	f.loaded = true
+	f.Rank(now)
+	slog.Info("plans loaded", "term", f.Term, "keys", len(items), "jobs", len(f.order), "machines", len(f.machines))
+}
+
+func splitPlanKey(key string) (id string, no int, ok bool) {
+	rest := key[len(jobs.PlanPrefix):]
+	for i := len(rest) - 1; i > 0; i-- {
+		if rest[i] == '/' {
+			n, err := strconv.Atoi(rest[i+1:])
+			return rest[:i], n, err == nil && n >= 0
+		}
+	}
+	return "", 0, false
+}
+
+// must reports a change of state that the rules do not know: a defect, never input.
+func (f *Fleet) must(err error) {
+	if err != nil {
+		slog.Error("state machine", "term", f.Term, "cause", err)
+	}
+}
+
+// place lets a task count as being on its machine.
+func (f *Fleet) place(now time.Duration, j *jobs.Job, t int32, s jobs.State) {
+	k := &j.Tasks[t]
+	if k.State.Occupies() {
+		f.must(j.Set(t, s))
+		return
+	}
+	m := f.machines[k.Machine]
+	f.must(j.Set(t, s))
+	size := j.Spec.Size()
+	m.On[Ref{j.Index, t}] = struct{}{}
+	m.Use = m.Use.Add(size)
+	if size.GPUs == 0 {
+		m.CPUOnly = m.CPUOnly.Add(size)
+	}
+	f.Ledger.Take(j.Team, size)
+	j.ZoneUse[m.Zone]++
+	if ty := f.typ(m); ty != nil {
+		m.touchImage(j.Image, j.Spec.ImageGB, ty.CacheGB)
+	}
+	m.IdleSince = now
+}
+
+// release ends a task's being on its machine; it then is to.
+func (f *Fleet) release(now time.Duration, j *jobs.Job, t int32, to jobs.State) {
+	k := &j.Tasks[t]
+	if !k.State.Occupies() {
+		f.must(j.Set(t, to))
+		return
+	}
+	m := f.machines[k.Machine]
+	size := j.Spec.Size()
+	delete(m.On, Ref{j.Index, t})
+	m.Use = m.Use.Sub(size)
+	if size.GPUs == 0 {
+		m.CPUOnly = m.CPUOnly.Sub(size)
+	}
+	if len(m.On) == 0 {
+		m.Use, m.CPUOnly = planner.Size{}, planner.Size{} // decimals leave dust
+		m.IdleSince = now
+	}
+	f.Ledger.Give(j.Team, size)
+	j.ZoneUse[m.Zone]--
+	f.must(j.Set(t, to))
+	if to == jobs.Planned {
+		k.Machine = m.Index
+		k.Attempt, k.Phase, k.Halting = 0, jobs.NoPhase, false
+		f.lane(m, j, t)
+	}
+}
+
+// lane queues a planned task at its machine.
+func (f *Fleet) lane(m *Machine, j *jobs.Job, t int32) {
+	m.Lanes[j.Index] = append(m.Lanes[j.Index], t)
+	m.Planned++
+}
+
+// unlane empties a machine's lanes: its planned tasks are to be planned anew.
+func (f *Fleet) unlane(m *Machine) {
+	for ix, ts := range m.Lanes {
+		j := f.job(ix)
+		for _, t := range ts {
+			if j.Tasks != nil && j.Tasks[t].State == jobs.Planned && j.Tasks[t].Machine == m.Index {
+				f.must(j.Set(t, jobs.Unplanned))
+			}
+		}
+	}
+	clear(m.Lanes)
+	m.Planned = 0
+}
+
+func (f *Fleet) job(ix jobs.Index) *jobs.Job { return f.Book.At(ix) }
+
+// Jobs tells of a change in the job table: a new job is opened, a cancelled one stopped.
+func (f *Fleet) Changed(now time.Duration, j *jobs.Job) {
+	if !f.loaded {
+		return
+	}
+	if j.Stance == jobs.Pending {
+		j.Open()
+		f.ranked = 0
+		slog.Info("job accepted", "job", j.ID, "class", j.Spec.Class, "kind", string(j.Spec.Kind), "tasks", j.N, "term", f.Term)
+		return
+	}
+	f.ranked = 0
+	if j.Tasks == nil {
+		return
+	}
+	slog.Info("job ended", "job", j.ID, "stance", j.Stance.String(), "term", f.Term)
+	for t := range j.Tasks {
+		k := &j.Tasks[t]
+		switch {
+		case k.State == jobs.Planned:
+			f.must(j.Set(int32(t), jobs.Unplanned))
+		case k.State.Occupies():
+			k.Halting = true
+		}
+	}
+	for _, m := range f.machines {
+		if ts, ok := m.Lanes[j.Index]; ok {
+			m.Planned -= len(ts)
+			delete(m.Lanes, j.Index)
+		}
+	}
+}
+
+// stats finds a class's record.
+func (f *Fleet) stats(class int32) *classStats {
+	s := f.classes[class]
+	if s == nil {
+		s = &classStats{ratio: 1}
+		f.classes[class] = s
+	}
+	return s
+}
+
+// estimate is a task's expected run time in seconds, corrected by its class.
+func (f *Fleet) estimate(j *jobs.Job) float64 {
+	if j.Spec.EstimateS <= 0 {
+		return 1
+	}
+	return j.Spec.EstimateS * f.stats(j.Class).ratio
+}
+
+// fetchS is how long a machine needs to fetch a job's image, 0 if it has it.
+func (f *Fleet) fetchS(j *jobs.Job, m *Machine) float64 {
+	ty := f.typ(m)
+	if ty == nil || ty.FetchGB <= 0 || m.HasImage(j.Image) {
+		return 0
+	}
+	return j.Spec.ImageGB / ty.FetchGB
+}
+
+// left is the estimated remaining time of a task on its machine, in seconds.
+func (f *Fleet) left(now time.Duration, j *jobs.Job, t int32) float64 {
+	k := &j.Tasks[t]
+	m := f.machines[k.Machine]
+	est := f.estimate(j) * m.slow
+	if k.Phase == jobs.Running || k.Phase == jobs.Saving {
+		ran := (now - k.RunSince).Seconds()
+		// An overdue task is most likely to run on for a part of what it has run.
+		return max(est-ran, 0.25*ran, 1)
+	}
+	ty := f.typ(m)
+	if ty == nil || ty.FetchGB <= 0 {
+		return est
+	}
+	return est + max(0, j.Spec.ImageGB/ty.FetchGB-(now-k.Since).Seconds())
+}
+
+// due is when a job's next start should have happened at the latest, and whether any of
+// its aims can still be met.
+func (f *Fleet) due(now time.Duration, j *jobs.Job) (time.Duration, bool) {
+	best, ok := time.Duration(1<<62), false
+	est := config.Seconds(f.estimate(j))
+	consider := func(d time.Duration) {
+		if d >= now && d < best {
+			best, ok = d, true
+		}
+	}
+	if j.Spec.DeadlineS != nil {
+		consider(j.At + config.Seconds(*j.Spec.DeadlineS) - est)
+	}
+	for _, o := range f.Settings.Params.Objectives {
+		if o.Class != j.Spec.Class {
+			continue
+		}
+		switch o.Kind {
+		case "wait":
+			if !j.Started {
+				consider(j.At + config.Seconds(o.WithinS))
+			}
+		case "finished":
+			consider(j.At + config.Seconds(o.WithinS) - est)
+		}
+	}
+	if !ok {
+		return j.At, false
+	}
+	return best, true
+}
+
+// Rank orders the live jobs: priority first, then the latest start that still meets
+// an aim; jobs past all aims come last, oldest first.
+func (f *Fleet) Rank(now time.Duration) {
+	f.ranked = now
+	f.order = f.order[:0]
+	f.perGPU = planner.Size{}
+	f.Book.Live(func(j *jobs.Job) {
+		if j.Tasks != nil && j.Spec != nil {
+			f.order = append(f.order, j)
+		}
+		if j.Spec != nil && j.Spec.GPUs > 0 {
+			f.perGPU.CPUs = max(f.perGPU.CPUs, j.Spec.CPUs/j.Spec.GPUs)
+			f.perGPU.Mem = max(f.perGPU.Mem, j.Spec.Mem/j.Spec.GPUs)
+		}
+	})
+	sort.Slice(f.order, func(a, b int) bool {
+		if f.order[a].At != f.order[b].At {
+			return f.order[a].At < f.order[b].At
+		}
+		return f.order[a].ID < f.order[b].ID
+	})
+	demand := map[int32]planner.Size{}
+	clear(f.within)
+	type key struct {
+		due time.Duration
+		ok  bool
+	}
+	keys := make(map[jobs.Index]key, len(f.order))
+	for _, j := range f.order {
+		s := j.Spec.Size()
+		n := float64(j.N - j.DoneN)
+		sum := demand[j.Team].Add(planner.Size{CPUs: s.CPUs * n, GPUs: s.GPUs * n})
+		demand[j.Team] = sum
+		f.within[j.Index] = f.Ledger.Within(j.Team, sum)
+		d, ok := f.due(now, j)
+		keys[j.Index] = key{d, ok}
+	}
+	sort.SliceStable(f.order, func(a, b int) bool {
+		x, y := f.order[a], f.order[b]
+		if x.Level != y.Level {
+			return x.Level > y.Level
+		}
+		kx, ky := keys[x.Index], keys[y.Index]
+		if kx.ok != ky.ok {
+			return kx.ok
+		}
+		return kx.due < ky.due
+	})
+	clear(f.rank)
+	for i, j := range f.order {
+		f.rank[j.Index] = i
+	}
+}
--- /dev/null
+++ b/internal/fleet/machine.go
@@ -0,0 +1,124 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/planner"
+)
+
+// Condition is where a machine stands for its owner.
+type Condition uint8
+
+// The conditions of a machine.
+//
+//	Known  -> Acting     a report at our token was seen
+//	Acting -> Noticed    the cloud takes it back soon, or we give it back: nothing new starts
+//	any    -> Lost       its worker's lease has surely run out
+//	any    -> Gone       the cloud confirmed that it is gone
+//	Lost   -> Acting     it reported again, in a new session
+const (
+	Known Condition = iota
+	Acting
+	Noticed
+	Lost
+	Gone
+)
+
+func (c Condition) String() string {
+	return [...]string{"known", "acting", "noticed", "lost", "gone"}[c]
+}
+
+// Ref names a task by dense indices.
+type Ref struct {
+	Job  jobs.Index
+	Task int32
+}
+
+type attempt struct {
+	Ref
+	n uint64
+}
+
+type cached struct {
+	image int32
+	gb    float64
+}
+
+// Machine is one rented machine.
+type Machine struct {
+	Index     int32
+	Name      string
+	Addr      string
+	Type      int32 // None until a report or the list tells
+	Zone      int32
+	Spot      bool
+	Condition Condition
+
+	Session, Seq uint64
+	Created      time.Duration // first heard of
+	Heard        time.Duration // last accepted report
+	Answered     time.Duration // last 200 that any owner may have sent
+	UpSince      time.Duration
+	NoticeAt     time.Duration // when the cloud takes it, if Noticed
+	IdleSince    time.Duration
+	Retiring     bool // we are giving it back
+
+	Size planner.Size
+	Use  planner.Size // by tasks that may be here
+	// CPUOnly is the part of Use by tasks without GPUs.
+	CPUOnly planner.Size
+	On      map[Ref]struct{}
+	// Lanes holds the planned, not yet started tasks by job.
+	Lanes   map[jobs.Index][]int32
+	Planned int
+
+	images []cached // most recently used last
+
+	// ordering is set while a direct command has no answer; late holds the attempts whose
+	// direct launch was never answered and may still arrive in this session.
+	ordering bool
+	late     map[attempt]struct{}
+	pushed   time.Duration
+
+	// claim is what a waiting gang of rank claimRank is to get here.
+	claim     planner.Size
+	claimRank int
+
+	errors   int // failures of different jobs in a row
+	errorJob jobs.Index
+	slow     float64 // run time against what was expected, smoothed; 1 is normal
+}
+
+// Free is what is left of it.
+func (m *Machine) Free() planner.Size { return m.Size.Sub(m.Use) }
+
+// HasImage tells whether an image is probably in its cache.
+func (m *Machine) HasImage(image int32) bool {
+	for _, c := range m.images {
+		if c.image == image {
+			return true
+		}
+	}
+	return false
+}
+
+// touchImage notes the use of an image and drops the least recently used ones that no
+// longer fit the cache.
+func (m *Machine) touchImage(image int32, gb, cacheGB float64) {
+	for i, c := range m.images {
+		if c.image == image {
+			m.images = append(m.images[:i], m.images[i+1:]...)
+			break
+		}
+	}
+	m.images = append(m.images, cached{image, gb})
+	sum := 0.0
+	for i := len(m.images) - 1; i >= 0; i-- {
+		sum += m.images[i].gb
+		if cacheGB > 0 && sum > cacheGB && i < len(m.images)-1 {
+			m.images = append([]cached(nil), m.images[i+1:]...)
+			break
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/messages.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"strconv"
+	"strings"
+)
+
+// Report is what a worker tells of itself.
+type Report struct {
+	Machine string       `json:"den"`
+	Addr    string       `json:"address"`
+	Type    string       `json:"build"`
+	Zone    string       `json:"meadow"`
+	Spot    bool         `json:"stray"`
+	Session uint64       `json:"run"`
+	Seq     uint64       `json:"tally"`
+	Token   uint64       `json:"mark"`
+	NoticeS *float64     `json:"warning_s"`
+	Tasks   []TaskReport `json:"hops"`
+}
+
+// TaskReport is one task on a machine.
+type TaskReport struct {
+	Task    string `json:"hop"`
+	Attempt uint64 `json:"try"`
+	State   string `json:"stance"`
+	Why     string `json:"cause"`
+	Saved   bool   `json:"kept"`
+}
+
+// The states of a task on a machine.
+const (
+	fetching = "pulling"
+	waiting  = "gathering"
+	running  = "running"
+	saving   = "flushing"
+	exited   = "exited"
+)
+
+// The reasons of an exit.
+const (
+	whyDone    = "done"
+	whyStopped = "halted"
+	whyError   = "error"
+	whyNoRoom  = "full"
+	whyBusy    = "in_use"
+	whyUnknown = "no_such"
+)
+
+// Command tells a worker to start, stop or forget a task.
+type Command struct {
+	Op      string   `json:"call"`
+	Task    string   `json:"hop"`
+	Attempt uint64   `json:"try"`
+	GraceS  *float64 `json:"mercy_s,omitempty"`
+}
+
+// The operations.
+const (
+	opStart  = "launch"
+	opStop   = "halt"
+	opForget = "forget"
+)
+
+// Answer is the response to a report.
+type Answer struct {
+	Token    uint64    `json:"mark"`
+	Commands []Command `json:"calls"`
+}
+
+// Orders is the body of a direct command.
+type Orders struct {
+	Token    uint64    `json:"mark"`
+	Session  uint64    `json:"run"`
+	Commands []Command `json:"calls"`
+}
+
+// ParseReport reads a report and refuses what no worker would send.
+func ParseReport(body []byte) (*Report, error) {
+	r := &Report{}
+	if err := json.Unmarshal(body, r); err != nil {
+		return nil, err
+	}
+	if r.Machine == "" || len(r.Machine) > 200 || r.Type == "" || r.Zone == "" || r.Session == 0 {
+		return nil, errors.New("report lacks a field")
+	}
+	return r, nil
+}
+
+// splitTask takes "req-000412/3" apart.
+func splitTask(name string) (job string, task int32, ok bool) {
+	job, n, ok := strings.Cut(name, "/")
+	if !ok {
+		return "", 0, false
+	}
+	v, err := strconv.ParseInt(n, 10, 32)
+	if err != nil || v < 0 {
+		return "", 0, false
+	}
+	return job, int32(v), true
+}
--- /dev/null
+++ b/internal/fleet/report.go
@@ -0,0 +1,422 @@
+package fleet
+
+import (
+	"log/slog"
+	"math"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/jobs"
+)
+
+// Verdict is what becomes of a report.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Accept  Verdict = iota
+	Stale           // older than one already seen: void
+	Deposed         // the worker has seen a higher token than ours
+)
+
+// Report takes over one report that came as a request and answers it. The caller has
+// checked that this controller has authority.
+func (f *Fleet) Report(now time.Duration, r *Report) (Answer, Verdict) {
+	m, v := f.take(now, r, false)
+	if v != Accept {
+		return Answer{}, v
+	}
+	m.Answered = now
+	a := Answer{Token: f.Term, Commands: []Command{}}
+	if m.Condition == Acting || m.Condition == Noticed {
+		a.Commands = f.commands(now, m, r)
+	}
+	return a, Accept
+}
+
+// take brings the machine's state up to a report. A direct one is the body of a response
+// to a command of ours; it may have been made while an answer of ours was under way.
+func (f *Fleet) take(now time.Duration, r *Report, direct bool) (*Machine, Verdict) {
+	if r.Token > f.Term {
+		return nil, Deposed
+	}
+	m := f.Machine(now, r.Machine)
+	if m.Condition == Gone {
+		// The cloud confirmed its return: this report was under way for long.
+		return m, Stale
+	}
+	if r.Session < m.Session || (r.Session == m.Session && r.Seq <= m.Seq) {
+		return m, Stale
+	}
+	if r.Session != m.Session {
+		// Direct commands name their session: those of the old one are refused now.
+		clear(m.late)
+		for ref := range m.On {
+			f.job(ref.Job).Tasks[ref.Task].Late = false
+		}
+	}
+	f.Describe(m, r.Addr, r.Type, r.Zone, r.Spot)
+	m.Session, m.Seq, m.Heard = r.Session, r.Seq, now
+	f.LastReport = now
+	if r.Token < f.Term || !f.loaded {
+		// Not fenced yet: a former owner's command may still arrive. Our token goes
+		// out with the answer, and the next report will carry it.
+		return m, Accept
+	}
+	switch {
+	case r.NoticeS != nil && !m.Retiring:
+		if m.Condition != Noticed {
+			m.NoticeAt = now + config.Seconds(*r.NoticeS)
+			f.condition(m, Noticed, "spot notice")
+			f.unlane(m)
+		}
+	case m.Condition != Acting && !m.Retiring:
+		if m.UpSince == 0 {
+			m.UpSince = now
+		}
+		f.condition(m, Acting, "report at our token")
+	}
+	f.tasks(now, m, r, direct)
+	return m, Accept
+}
+
+// tasks compares the list of a fenced report with what is known.
+func (f *Fleet) tasks(now time.Duration, m *Machine, r *Report, direct bool) {
+	listed := make(map[Ref]bool, len(r.Tasks))
+	// Exits first: a refused attempt may stand beside the one that runs.
+	for _, e := range r.Tasks {
+		if e.State != exited {
+			if j, t := f.resolve(e.Task); j != nil {
+				listed[Ref{j.Index, t}] = true
+			}
+		}
+	}
+	for i := range r.Tasks {
+		e := &r.Tasks[i]
+		j, t := f.resolve(e.Task)
+		if j == nil || j.Tasks == nil {
+			continue
+		}
+		if e.State == exited {
+			f.exit(now, m, j, t, e, listed[Ref{j.Index, t}])
+		} else {
+			f.live(now, m, j, t, e)
+		}
+	}
+	var missing []Ref
+	for ref := range m.On {
+		if !listed[ref] {
+			missing = append(missing, ref)
+		}
+	}
+	sortRefs(missing)
+	for _, ref := range missing {
+		f.missing(now, m, ref, direct)
+	}
+}
+
+func sortRefs(rs []Ref) {
+	sort.Slice(rs, func(a, b int) bool {
+		if rs[a].Job != rs[b].Job {
+			return rs[a].Job < rs[b].Job
+		}
+		return rs[a].Task < rs[b].Task
+	})
+}
+
+func (f *Fleet) resolve(name string) (*jobs.Job, int32) {
+	id, t, ok := splitTask(name)
+	if !ok {
+		return nil, 0
+	}
+	j := f.Book.Get(id)
+	if j == nil || int(t) >= j.N {
+		return nil, 0
+	}
+	return j, t
+}
+
+func phaseOf(state string) jobs.Phase {
+	switch state {
+	case fetching:
+		return jobs.Fetching
+	case waiting:
+		return jobs.Waiting
+	case running:
+		return jobs.Running
+	case saving:
+		return jobs.Saving
+	}
+	return jobs.NoPhase
+}
+
+// live takes over a task that is on the machine.
+func (f *Fleet) live(now time.Duration, m *Machine, j *jobs.Job, t int32, e *TaskReport) {
+	k := &j.Tasks[t]
+	if k.State == jobs.Finished {
+		return // commands will stop it
+	}
+	if k.State != jobs.Unplanned && k.Machine != m.Index {
+		if k.State.Occupies() {
+			slog.Error("task seen on a machine that it was not sent to", "task", e.Task, "machine", m.Name,
+				"expected", f.machines[k.Machine].Name, "term", f.Term)
+			return
+		}
+		f.dropLane(j, t) // planned elsewhere, but it is here
+		f.must(j.Set(t, jobs.Unplanned))
+	}
+	if k.State == jobs.Planned {
+		f.dropLane(j, t)
+	}
+	if k.State != jobs.OnMachine {
+		if k.Machine != m.Index {
+			k.Machine = m.Index
+			j.Touch(t, true, now)
+		}
+		if k.Since == 0 || !k.State.Occupies() {
+			k.Since = now
+		}
+		f.place(now, j, t, jobs.OnMachine)
+		k.Attempt = e.Attempt
+		j.Attempt = max(j.Attempt, e.Attempt)
+		j.Started = true
+		if j.Stance.Terminal() {
+			k.Halting = true
+		}
+	}
+	k.Attempt = e.Attempt
+	k.Late = false
+	p := phaseOf(e.State)
+	if p == jobs.Running && k.Phase != jobs.Running {
+		k.RunSince = now
+	}
+	k.Phase = p
+}
+
+// exit takes over the end of a task. again tells that another attempt of it is listed as
+// alive on the same machine.
+func (f *Fleet) exit(now time.Duration, m *Machine, j *jobs.Job, t int32, e *TaskReport, again bool) {
+	k := &j.Tasks[t]
+	if e.Why == whyDone {
+		if j.Stance.Terminal() {
+			if k.State.Occupies() && k.Machine == m.Index {
+				f.release(now, j, t, jobs.Unplanned)
+			}
+			return
+		}
+		f.finish(now, m, j, t, true)
+		if j.Spec.Kind == jobs.Gang {
+			// When one task of a gang is done, every one is.
+			for o := range j.Tasks {
+				f.finish(now, m, j, int32(o), false)
+			}
+		}
+		return
+	}
+	mine := k.Machine == m.Index && k.State.Occupies() && (k.Attempt == e.Attempt || k.State == jobs.Recovered)
+	if !mine || again {
+		return
+	}
+	if e.Why == whyBusy {
+		// Another attempt of it is here: the next report lists it, or nothing of it.
+		return
+	}
+	slog.Info("task ended", "task", e.Task, "machine", m.Name, "cause", e.Why, "saved", e.Saved, "term", f.Term)
+	f.release(now, j, t, jobs.Unplanned)
+	j.Touch(t, false, now)
+	switch e.Why {
+	case whyError:
+		k.Fails = min(k.Fails+1, 6)
+		k.Until = now + time.Second<<k.Fails
+		if m.errorJob != j.Index || m.errors == 0 {
+			m.errors++
+			m.errorJob = j.Index
+		}
+	case whyNoRoom, whyUnknown:
+		k.Until = now + 2*time.Second
+	}
+}
+
+// finish records a task's completion.
+func (f *Fleet) finish(now time.Duration, m *Machine, j *jobs.Job, t int32, seen bool) {
+	k := &j.Tasks[t]
+	if k.State == jobs.Finished {
+		return
+	}
+	if seen && k.Machine == m.Index && k.Phase == jobs.Running {
+		f.learn(j, m, (now - k.RunSince).Seconds(), k.Fails == 0)
+		m.errors = 0
+	}
+	if k.State == jobs.Planned {
+		f.dropLane(j, t)
+	}
+	f.release(now, j, t, jobs.Finished)
+	j.Touch(t, false, now)
+	if j.DoneN == j.N {
+		slog.Info("all tasks done", "job", j.ID, "term", f.Term)
+	}
+}
+
+// learn compares a run time with its estimate.
+func (f *Fleet) learn(j *jobs.Job, m *Machine, ran float64, clean bool) {
+	if j.Spec.EstimateS <= 0 || ran < 2 || !clean || j.Spec.CheckpointS > 0 && j.Attempt != 0 && ran < j.Spec.EstimateS/4 {
+		return
+	}
+	s := f.stats(j.Class)
+	r := math.Min(8, math.Max(0.1, ran/j.Spec.EstimateS))
+	// One job's tasks share its owner's error: a job counts once, not once a task.
+	w := 1 / math.Sqrt(float64(j.N))
+	rate := math.Max(w/(s.n+w), w*0.1)
+	m.slow += 0.2 * (math.Min(6, math.Max(0.5, r/s.ratio)) - m.slow)
+	s.ratio = math.Exp((1-rate)*math.Log(s.ratio) + rate*math.Log(r))
+	s.n += w
+}
+
+// missing handles a task that should be on the machine but is not listed by a fenced
+// report.
+func (f *Fleet) missing(now time.Duration, m *Machine, ref Ref, direct bool) {
+	j := f.job(ref.Job)
+	k := &j.Tasks[ref.Task]
+	switch k.State {
+	case jobs.Launched:
+		// Its launch went out directly, in an answer that is still under way (a direct
+		// report says nothing of that), or in one that the worker dropped. Only in the
+		// last case it surely won't start any more: it is sent again or given up.
+		if (j.Stance.Terminal() || m.Condition != Acting) && !k.Late && !direct {
+			f.release(now, j, ref.Task, jobs.Unplanned)
+		}
+	case jobs.Recovered:
+		to := jobs.Planned
+		if j.Stance.Terminal() || j.Spec.Kind != jobs.Array || m.Condition != Acting {
+			to = jobs.Unplanned
+		}
+		f.release(now, j, ref.Task, to)
+	case jobs.OnMachine:
+		slog.Info("task vanished", "job", j.ID, "task", ref.Task, "machine", m.Name, "term", f.Term)
+		f.release(now, j, ref.Task, jobs.Unplanned)
+		if !j.Stance.Terminal() {
+			j.Touch(ref.Task, false, now)
+		}
+	}
+}
+
+// dropLane takes a task out of its machine's lanes.
+func (f *Fleet) dropLane(j *jobs.Job, t int32) {
+	k := &j.Tasks[t]
+	if k.Machine == jobs.None {
+		return
+	}
+	m := f.machines[k.Machine]
+	ts := m.Lanes[j.Index]
+	for i, x := range ts {
+		if x == t {
+			m.Lanes[j.Index] = append(ts[:i], ts[i+1:]...)
+			m.Planned--
+			break
+		}
+	}
+	if len(m.Lanes[j.Index]) == 0 {
+		delete(m.Lanes, j.Index)
+	}
+}
+
+func taskName(j *jobs.Job, t int32) string { return j.ID + "/" + strconv.Itoa(int(t)) }
+
+// commands answers a fenced report: forget what is recorded, stop what must stop, repeat
+// launches that did not arrive, and start what the machine's lanes hold.
+func (f *Fleet) commands(now time.Duration, m *Machine, r *Report) []Command {
+	out := []Command{}
+	alive := make(map[Ref]bool, len(r.Tasks))
+	for i := range r.Tasks {
+		e := &r.Tasks[i]
+		j, t := f.resolve(e.Task)
+		if e.State == exited {
+			if f.forgettable(m, j, t, e) {
+				out = append(out, Command{Op: opForget, Task: e.Task, Attempt: e.Attempt})
+			}
+			continue
+		}
+		if j != nil {
+			alive[Ref{j.Index, t}] = true
+		}
+		if grace, stop := f.mustStop(now, m, j, t, e); stop {
+			out = append(out, Command{Op: opStop, Task: e.Task, Attempt: e.Attempt, GraceS: &grace})
+		}
+	}
+	if m.Condition != Acting {
+		return out
+	}
+	var again []Ref
+	for ref := range m.On {
+		j := f.job(ref.Job)
+		if j.Tasks[ref.Task].State == jobs.Launched && !alive[ref] && !j.Stance.Terminal() {
+			again = append(again, ref)
+		}
+	}
+	sortRefs(again)
+	for _, ref := range again {
+		j := f.job(ref.Job)
+		out = append(out, Command{Op: opStart, Task: taskName(j, ref.Task), Attempt: j.Tasks[ref.Task].Attempt})
+	}
+	return append(out, f.starts(now, m)...)
+}
+
+// forgettable tells whether an exited task may vanish from the reports: its outcome must
+// be durable, and no direct launch of the same attempt may still be under way, since a
+// worker that has forgotten an attempt would start it anew.
+func (f *Fleet) forgettable(m *Machine, j *jobs.Job, t int32, e *TaskReport) bool {
+	if m.ordering {
+		return false
+	}
+	if j == nil {
+		return true
+	}
+	if _, late := m.late[attempt{Ref{j.Index, t}, e.Attempt}]; late {
+		return false
+	}
+	if e.Why != whyDone || j.Stance.Terminal() {
+		return true
+	}
+	return j.Tasks != nil && j.IsDurablyDone(t)
+}
+
+// mustStop tells whether a task that is alive on a machine has to go, and with what grace.
+func (f *Fleet) mustStop(now time.Duration, m *Machine, j *jobs.Job, t int32, e *TaskReport) (float64, bool) {
+	if j == nil || j.Stance.Terminal() || j.Tasks == nil {
+		return 0, true
+	}
+	k := &j.Tasks[t]
+	if k.State == jobs.Finished || k.Machine != m.Index {
+		return 0, true
+	}
+	if k.Halting && e.State != saving {
+		return j.Spec.SaveS + 1, true
+	}
+	if m.Condition == Noticed && !m.Retiring && e.State != saving {
+		return f.drain(now, m, j, t)
+	}
+	return 0, false
+}
+
+// drain decides whether a task on a machine that is being taken should stop now: one that
+// will be done in time goes on, one that can save does so while there is time, and one
+// that cannot is started elsewhere at once.
+func (f *Fleet) drain(now time.Duration, m *Machine, j *jobs.Job, t int32) (float64, bool) {
+	rest := (m.NoticeAt - now).Seconds()
+	k := &j.Tasks[t]
+	if j.Spec.Kind == jobs.Gang && j.N > 1 {
+		if rest > j.Spec.SaveS+f.Settings.Params.Workers.GangPeerS+1 && f.left(now, j, t) < rest*0.7 {
+			return 0, false
+		}
+		for o := range j.Tasks {
+			j.Tasks[o].Halting = true
+		}
+		return j.Spec.SaveS + 1, true
+	}
+	if k.Phase == jobs.Running && f.left(now, j, t) < rest*0.7 {
+		return 0, false
+	}
+	return j.Spec.SaveS + 1, true
+}
--- /dev/null
+++ b/internal/intake/http.go
@@ -0,0 +1,117 @@
+package intake
+
+import (
+	"errors"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/harewalk/harewalk/internal/fleet"
+	"github.com/harewalk/harewalk/internal/jobs"
+)
+
+// Routes are the entries to the event loop, called from connection goroutines. Post
+// returns false if the loop's queue is full.
+type Routes struct {
+	Post   func(func()) bool
+	Now    func() time.Duration
+	Intake *Intake
+	Up     func() bool
+	Report func(now time.Duration, r *fleet.Report, reply func(Reply))
+	// MaxConns bounds open connections.
+	MaxConns int
+}
+
+// limits of waiting for the loop: below what the client waits for.
+const (
+	userWait   = 3 * time.Second
+	workerWait = 3 * time.Second
+)
+
+// Serve answers HTTP on a listener until it is closed.
+func Serve(ln net.Listener, r Routes) error {
+	app := fiber.New(fiber.Config{
+		BodyLimit:   64<<10 + 1,
+		Concurrency: max(64, r.MaxConns),
+		ReadTimeout: 90 * time.Second,
+		IdleTimeout: 90 * time.Second,
+		ErrorHandler: func(c fiber.Ctx, err error) error {
+			status := fiber.StatusInternalServerError
+			var fe *fiber.Error
+			if errors.As(err, &fe) {
+				status = fe.Code
+			}
+			if status == fiber.StatusRequestEntityTooLarge {
+				status = fiber.StatusBadRequest // the protocol's word for a body too large
+			}
+			return c.Status(status).JSON(fault{err.Error()})
+		},
+	})
+	app.Get("/up", func(c fiber.Ctx) error {
+		return r.ask(c, userWait, func(reply func(Reply)) {
+			if r.Up() {
+				reply(Reply{Status: 200, Body: struct {
+					OK bool `json:"ok"`
+				}{true}})
+				return
+			}
+			reply(refuse(503, "not ready"))
+		})
+	})
+	app.Post("/v2/runs", func(c fiber.Ctx) error {
+		spec, err := jobs.ParseSpec(c.Body())
+		if err != nil {
+			return send(c, refuse(400, err.Error()))
+		}
+		return r.ask(c, userWait, func(reply func(Reply)) { r.Intake.Submit(r.Now(), spec, reply) })
+	})
+	app.Get("/v2/runs/:id", func(c fiber.Ctx) error {
+		id := string([]byte(c.Params("id")))
+		return r.ask(c, 1800*time.Millisecond, func(reply func(Reply)) { r.Intake.Query(r.Now(), id, reply) })
+	})
+	app.Post("/v2/runs/:id/abort", func(c fiber.Ctx) error {
+		id := string([]byte(c.Params("id")))
+		return r.ask(c, userWait, func(reply func(Reply)) { r.Intake.Abort(r.Now(), id, reply) })
+	})
+	app.Post("/checkin", func(c fiber.Ctx) error {
+		rep, err := fleet.ParseReport(c.Body())
+		if err != nil {
+			return send(c, refuse(400, "not a report"))
+		}
+		return r.ask(c, workerWait, func(reply func(Reply)) { r.Report(r.Now(), rep, reply) })
+	})
+	return app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
+}
+
+// ask hands a request to the event loop and waits for its answer.
+func (r Routes) ask(c fiber.Ctx, wait time.Duration, f func(reply func(Reply))) error {
+	ch := make(chan Reply, 1)
+	ok := r.Post(func() {
+		f(func(a Reply) {
+			select {
+			case ch <- a:
+			default:
+			}
+		})
+	})
+	if !ok {
+		return send(c, refuse(503, "overloaded"))
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case a := <-ch:
+		return send(c, a)
+	case <-t.C:
+		return send(c, refuse(503, "no answer in time"))
+	}
+}
+
+func send(c fiber.Ctx, a Reply) error {
+	if a.RetryAfter > 0 {
+		c.Set("Retry-After", strconv.Itoa(a.RetryAfter))
+	}
+	return c.Status(a.Status).JSON(a.Body)
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,403 @@
+// Package intake answers users: submissions, queries, aborts and the health check. It
+// runs on the event loop; http.go brings the requests in.
+package intake
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+// Reply is an answer to a user.
+type Reply struct {
+	Status     int
+	Body       any
+	RetryAfter int // seconds, 0: none
+}
+
+// view is a job as told to users.
+type view struct {
+	ID      string `json:"name_id"`
+	Stance  string `json:"stance"`
+	Done    *int   `json:"done,omitempty"`
+	Running *int   `json:"running,omitempty"`
+}
+
+type fault struct {
+	Error string `json:"error"`
+}
+
+func refuse(status int, why string) Reply {
+	r := Reply{Status: status, Body: fault{why}}
+	if status == 429 || status == 503 {
+		r.RetryAfter = 1
+	}
+	return r
+}
+
+// Bounds of the queues.
+const (
+	maxSubmits = 400
+	maxChecks  = 2000
+)
+
+// Admission decides whether a job can ever run; known is false while it can't be told.
+type Admission func(*jobs.Spec) (ok, known bool, why string)
+
+// Env is what intake needs of its surroundings.
+type Env struct {
+	Store *store.Client
+	Book  *jobs.Book
+	Admit Admission
+	// Ready tells whether the job table was read in full.
+	Ready func() bool
+	// Counts gives what is displayed of a pending job.
+	Counts func(*jobs.Job) (done, running int)
+	// Learned hands on a record that was written or read here.
+	Learned func(now time.Duration, it store.Item)
+	// TxnOps bounds a transaction.
+	TxnOps int
+}
+
+type submit struct {
+	spec  *jobs.Spec
+	raw   []byte
+	reply func(Reply)
+}
+
+type check struct {
+	id      string
+	version uint64
+	again   bool
+	reply   func(Reply)
+	submit  bool // a repeated submission asks: the answer carries no counts
+}
+
+// Intake is the event-loop side.
+type Intake struct {
+	Env
+	submits    []submit
+	submitting bool
+	checks     []check
+	checking   bool
+	nextCheck  time.Duration
+}
+
+// New makes an intake.
+func New(env Env) *Intake { return &Intake{Env: env} }
+
+// stateLost tells that the state service has not answered for so long that asking it
+// again would only hold the user back.
+func (n *Intake) stateLost(now time.Duration) bool { return now-n.Store.LastOK() > 3*time.Second }
+
+func (n *Intake) show(j *jobs.Job, full bool) Reply {
+	v := view{ID: j.ID, Stance: j.Stance.String()}
+	done, running := j.DoneN, 0
+	if j.Stance == jobs.Pending {
+		done, running = n.Counts(j)
+		if running > 0 {
+			v.Stance = "running"
+		}
+	}
+	if full {
+		v.Done, v.Running = &done, &running
+	}
+	return Reply{Status: 200, Body: v}
+}
+
+// Submit takes a parsed submission.
+func (n *Intake) Submit(now time.Duration, s *jobs.Spec, reply func(Reply)) {
+	if !n.Ready() {
+		reply(refuse(503, "still reading the jobs"))
+		return
+	}
+	if j := n.Book.Get(s.ID); j != nil {
+		if j.Stance.Terminal() {
+			reply(n.show(j, false))
+			return
+		}
+		n.queueCheck(now, check{id: s.ID, reply: reply, submit: true})
+		return
+	}
+	switch ok, known, why := n.Admit(s); {
+	case !known:
+		reply(refuse(503, why))
+		return
+	case !ok:
+		// The job may have been accepted elsewhere an instant ago, but what can never
+		// run is refused by every controller alike.
+		reply(refuse(422, why))
+		return
+	}
+	if n.stateLost(now) {
+		reply(refuse(503, "the state service does not answer"))
+		return
+	}
+	if len(n.submits) >= maxSubmits {
+		reply(refuse(429, "too many submissions"))
+		return
+	}
+	raw := jobs.EncodeRecord(jobs.Pending, n.Book.WallMS(now), s.Tasks, s)
+	n.submits = append(n.submits, submit{s, raw, reply})
+	n.flush(now)
+}
+
+// flush writes all waiting submissions in one transaction; those that come meanwhile form
+// the next.
+func (n *Intake) flush(now time.Duration) {
+	if n.submitting || len(n.submits) == 0 {
+		return
+	}
+	size, k := 200, 0
+	seen := map[string]bool{}
+	for k < len(n.submits) && k < n.TxnOps {
+		s := n.submits[k]
+		if size += len(s.raw) + 120; size > 60<<10 || seen[s.spec.ID] {
+			break
+		}
+		seen[s.spec.ID] = true
+		k++
+	}
+	if !n.Store.Room(k, store.Ordinary) {
+		if k = 1; !n.Store.Room(k, store.Ordinary) {
+			for _, s := range n.submits {
+				s.reply(refuse(429, "the state service is at its limit"))
+			}
+			n.submits = nil
+			return
+		}
+	}
+	batch := append([]submit(nil), n.submits[:k]...)
+	n.submits = n.submits[k:]
+	t := store.Txn{}
+	for _, s := range batch {
+		key := jobs.RecordKey(s.spec.ID)
+		t.If = append(t.If, store.Cond{Key: key})
+		t.Then = append(t.Then, store.Op{Put: key, Value: s.raw})
+	}
+	n.submitting = true
+	n.Store.Txn(t, store.Ordinary, func(r store.Result) {
+		n.submitting = false
+		n.submitted(n.Store.Now(), batch, r)
+		n.flush(n.Store.Now())
+	})
+}
+
+func (n *Intake) submitted(now time.Duration, batch []submit, r store.Result) {
+	failed := map[string]bool{}
+	for _, k := range r.Failed {
+		failed[k] = true
+	}
+	for _, s := range batch {
+		key := jobs.RecordKey(s.spec.ID)
+		switch r.Outcome {
+		case store.Committed:
+			n.Learned(now, store.Item{Key: key, Value: s.raw, Version: r.Revision})
+			s.reply(Reply{Status: 201, Body: view{ID: s.spec.ID, Stance: "pending"}})
+		case store.Conflict:
+			if failed[key] {
+				n.reread(s.spec.ID, s.reply, false)
+			} else if len(n.submits) < maxSubmits {
+				n.submits = append(n.submits, s)
+			} else {
+				s.reply(refuse(429, "too many submissions"))
+			}
+		case store.Unknown:
+			// It may have been stored: only a read can tell. If it was not, it may yet
+			// be; then the user's retry finds it.
+			n.reread(s.spec.ID, s.reply, false)
+		default:
+			s.reply(refuse(503, "the state service did not take the job"))
+		}
+	}
+}
+
+// reread answers from a fresh read of a job's record.
+func (n *Intake) reread(id string, reply func(Reply), query bool) {
+	n.Store.Get(jobs.RecordKey(id), store.Ordinary, func(it store.Item, err error) {
+		switch {
+		case err != nil:
+			reply(refuse(503, "the state service does not answer"))
+		case it.Version == 0 && query:
+			reply(refuse(404, "no such job"))
+		case it.Version == 0:
+			reply(refuse(503, "the job was not stored"))
+		default:
+			n.Learned(n.Store.Now(), it)
+			if j := n.Book.Get(id); j != nil {
+				reply(n.show(j, query))
+				return
+			}
+			reply(refuse(503, "the job's record cannot be read"))
+		}
+	})
+}
+
+// Query answers what has become of a job. What can still change is checked against the
+// state service, many jobs in one transaction without changes.
+func (n *Intake) Query(now time.Duration, id string, reply func(Reply)) {
+	if !jobs.ValidID(id) {
+		reply(refuse(404, "no such job"))
+		return
+	}
+	if !n.Ready() {
+		reply(refuse(503, "still reading the jobs"))
+		return
+	}
+	if j := n.Book.Get(id); j != nil && j.Stance.Terminal() {
+		reply(n.show(j, true))
+		return
+	}
+	n.queueCheck(now, check{id: id, reply: reply})
+}
+
+func (n *Intake) queueCheck(now time.Duration, c check) {
+	if n.stateLost(now) {
+		c.reply(refuse(503, "the state service does not answer"))
+		return
+	}
+	if len(n.checks) >= maxChecks {
+		c.reply(refuse(429, "too many queries"))
+		return
+	}
+	n.checks = append(n.checks, c)
+	n.check(now)
+}
+
+// Tick sends a check that was spaced out.
+func (n *Intake) Tick(now time.Duration) { n.check(now) }
+
+func (n *Intake) check(now time.Duration) {
+	if n.checking || len(n.checks) == 0 || now < n.nextCheck {
+		return
+	}
+	if !n.Store.Room(0, store.Ordinary) {
+		if len(n.checks) > 200 {
+			for _, c := range n.checks {
+				c.reply(refuse(503, "the state service is at its limit"))
+			}
+			n.checks = nil
+		}
+		n.nextCheck = now + 50*time.Millisecond
+		return
+	}
+	var batch []check
+	seen := map[string]bool{}
+	t := store.Txn{}
+	k := 0
+	for ; k < len(n.checks) && len(seen) < 4*n.TxnOps && len(seen) < 300; k++ {
+		c := n.checks[k]
+		c.version = 0
+		if j := n.Book.Get(c.id); j != nil {
+			c.version = j.Version
+		}
+		if !seen[c.id] {
+			seen[c.id] = true
+			t.If = append(t.If, store.Cond{Key: jobs.RecordKey(c.id), Version: c.version})
+		}
+		batch = append(batch, c)
+	}
+	n.checks = n.checks[k:]
+	n.checking = true
+	n.nextCheck = now + 40*time.Millisecond
+	n.Store.Txn(t, store.Ordinary, func(r store.Result) {
+		n.checking = false
+		n.checked(batch, r)
+		n.check(n.Store.Now())
+	})
+}
+
+func (n *Intake) checked(batch []check, r store.Result) {
+	failed := map[string]bool{}
+	for _, k := range r.Failed {
+		failed[k] = true
+	}
+	if r.Outcome != store.Committed && r.Outcome != store.Conflict {
+		slog.Debug("queries not checked", "n", len(batch), "outcome", r.Outcome.String())
+		for _, c := range batch {
+			c.reply(refuse(503, "the state service does not answer"))
+		}
+		return
+	}
+	for _, c := range batch {
+		j := n.Book.Get(c.id)
+		switch {
+		case !failed[jobs.RecordKey(c.id)]:
+			// Our version was the newest when the check ran. What has been learnt since
+			// is newer still.
+			if j == nil {
+				c.reply(refuse(404, "no such job"))
+			} else {
+				c.reply(n.show(j, !c.submit))
+			}
+		case j != nil && j.Stance.Terminal():
+			c.reply(n.show(j, !c.submit))
+		default:
+			n.reread(c.id, c.reply, !c.submit)
+		}
+	}
+}
+
+// Abort cancels a job. The answer is given once that is durable.
+func (n *Intake) Abort(now time.Duration, id string, reply func(Reply)) {
+	if !jobs.ValidID(id) {
+		reply(refuse(404, "no such job"))
+		return
+	}
+	if !n.Ready() {
+		reply(refuse(503, "still reading the jobs"))
+		return
+	}
+	if n.stateLost(now) {
+		if j := n.Book.Get(id); j == nil || !j.Stance.Terminal() {
+			reply(refuse(503, "the state service does not answer"))
+			return
+		}
+	}
+	n.abort(id, reply, 4)
+}
+
+func (n *Intake) abort(id string, reply func(Reply), tries int) {
+	j := n.Book.Get(id)
+	if j != nil && j.Stance.Terminal() {
+		reply(n.show(j, false))
+		return
+	}
+	again := func() {
+		n.Store.Get(jobs.RecordKey(id), store.Ordinary, func(it store.Item, err error) {
+			switch {
+			case err != nil || tries == 0:
+				reply(refuse(503, "the state service does not answer"))
+			case it.Version == 0:
+				reply(refuse(404, "no such job"))
+			default:
+				n.Learned(n.Store.Now(), it)
+				n.abort(id, reply, tries-1)
+			}
+		})
+	}
+	if j == nil {
+		again()
+		return
+	}
+	key := jobs.RecordKey(id)
+	raw := jobs.EncodeRecord(jobs.Cancelled, 0, j.N, nil)
+	n.Store.Txn(store.Txn{If: []store.Cond{{Key: key, Version: j.Version}}, Then: []store.Op{{Put: key, Value: raw}}},
+		store.Ordinary, func(r store.Result) {
+			switch r.Outcome {
+			case store.Committed:
+				n.Learned(n.Store.Now(), store.Item{Key: key, Value: raw, Version: r.Revision})
+				reply(n.show(n.Book.Get(id), false))
+			case store.Conflict, store.Unknown:
+				if tries == 0 {
+					reply(refuse(503, "the job keeps changing"))
+					return
+				}
+				again()
+			default:
+				reply(refuse(503, "the state service did not take it"))
+			}
+		})
+}
--- /dev/null
+++ b/internal/jobs/book.go
@@ -0,0 +1,198 @@
+package jobs
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+)
+
+// Index is a job's dense index on this controller.
+type Index int32
+
+// Job is one job as this controller knows it. Tasks exist only where it is planned.
+type Job struct {
+	Index   Index
+	ID      string
+	Spec    *Spec // nil once terminal and nothing of it is left
+	Stance  Stance
+	Version uint64 // of the record
+	N       int
+	At      time.Duration // submission, on this controller's steady clock
+
+	Tasks  []Task
+	Chunks []*Chunk
+
+	DoneN    int // finished tasks, as far as known here
+	RunningN int // display only
+
+	Attempt uint64 // of a gang's current start
+	Level   int
+
+	// Dense indices of the names in the spec.
+	Class, Team, Image int32
+	Zone               int32   // the only zone, or None
+	Types              []int32 // the only machine types, or nil
+
+	// ZoneUse counts, by dense zone, the tasks that may be on a machine there.
+	ZoneUse map[int32]int
+
+	Closing bool // the terminal record is being written
+	Started bool // some task was launched at least once
+}
+
+// Names maps the names of one kind to dense indices.
+type Names struct {
+	index map[string]int32
+	names []string
+}
+
+// Index finds or makes a name's index.
+func (n *Names) Index(name string) int32 {
+	if i, ok := n.index[name]; ok {
+		return i
+	}
+	if n.index == nil {
+		n.index = map[string]int32{}
+	}
+	i := int32(len(n.names))
+	name = strings.Clone(name)
+	n.names = append(n.names, name)
+	n.index[name] = i
+	return i
+}
+
+// Name gives the name back.
+func (n *Names) Name(i int32) string { return n.names[i] }
+
+// Len is the number of names.
+func (n *Names) Len() int { return len(n.names) }
+
+// Door holds the tables of all kinds of names.
+type Door struct{ Classes, Teams, Images, Zones, Types Names }
+
+// enter maps a spec's names.
+func (d *Door) enter(j *Job) {
+	s := j.Spec
+	j.Class, j.Team, j.Image, j.Zone = d.Classes.Index(s.Class), d.Teams.Index(s.Team), d.Images.Index(s.Image), None
+	if s.Zone != nil {
+		j.Zone = d.Zones.Index(*s.Zone)
+	}
+	j.Types = nil
+	for _, t := range s.Types {
+		j.Types = append(j.Types, d.Types.Index(t))
+	}
+}
+
+// Allows tells whether the job may run on a kind of machine.
+func (j *Job) Allows(typ, zone int32, spot bool) bool {
+	if j.Spec == nil || (spot && !j.Spec.Spot) || (j.Zone != None && j.Zone != zone) {
+		return false
+	}
+	if j.Types == nil {
+		return true
+	}
+	for _, t := range j.Types {
+		if t == typ {
+			return true
+		}
+	}
+	return false
+}
+
+// Book is the table of all jobs. It never tells an older stance than it has told.
+type Book struct {
+	byID  map[string]Index
+	jobs  []*Job
+	live  map[Index]*Job
+	epoch int64 // wall-clock milliseconds at steady time 0
+	Door  *Door
+}
+
+// NewBook makes an empty table; epochMS is the wall clock at steady time 0.
+func NewBook(epochMS int64) *Book {
+	return &Book{byID: map[string]Index{}, live: map[Index]*Job{}, epoch: epochMS, Door: &Door{}}
+}
+
+// At finds a job by index.
+func (b *Book) At(i Index) *Job { return b.jobs[i] }
+
+// Get finds a job by id.
+func (b *Book) Get(id string) *Job {
+	if i, ok := b.byID[id]; ok {
+		return b.jobs[i]
+	}
+	return nil
+}
+
+// Len is the number of jobs known.
+func (b *Book) Len() int { return len(b.jobs) }
+
+// Live calls f for every job that is not terminal; the order is not defined.
+func (b *Book) Live(f func(*Job)) {
+	for _, j := range b.live {
+		f(j)
+	}
+}
+
+// Apply takes over a record that was read or committed and returns the job if its stance
+// is new here. Records only go forward: an older version, which a read that raced with the
+// follow may bring, is ignored, and a terminal stance stays.
+func (b *Book) Apply(id string, raw json.RawMessage, version uint64) (*Job, bool, error) {
+	j := b.Get(id)
+	if j != nil && (version <= j.Version || j.Stance.Terminal()) {
+		return j, false, nil
+	}
+	r, st, err := decodeRecord(raw)
+	if err != nil {
+		return j, false, err
+	}
+	if j == nil {
+		j = &Job{Index: Index(len(b.jobs)), ID: strings.Clone(id), N: r.N, ZoneUse: map[int32]int{}}
+		b.jobs = append(b.jobs, j)
+		b.byID[j.ID] = j.Index
+	} else if j.Stance == st {
+		j.Version = version
+		return j, false, nil
+	}
+	j.Version = version
+	b.setStance(j, st)
+	if r.Spec != nil {
+		j.Spec = r.Spec
+		j.Level = r.Spec.Level()
+		b.Door.enter(j)
+		j.At = time.Duration(r.AtMS-b.epoch) * time.Millisecond
+	}
+	return j, true, nil
+}
+
+// setStance is the only place where a job's stance changes.
+func (b *Book) setStance(j *Job, st Stance) {
+	j.Stance = st
+	if st.Terminal() {
+		delete(b.live, j.Index)
+		if st == Done {
+			j.DoneN = j.N
+		}
+		j.RunningN = 0
+		return
+	}
+	b.live[j.Index] = j
+}
+
+// WallMS is the wall clock at a steady time.
+func (b *Book) WallMS(now time.Duration) int64 { return b.epoch + now.Milliseconds() }
+
+// Recall drops what only the job's planner needs: after losing the lead.
+func (b *Book) Recall() {
+	for _, j := range b.jobs {
+		j.Tasks, j.Chunks, j.Closing, j.Started, j.Attempt = nil, nil, false, false, 0
+		clear(j.ZoneUse)
+	}
+}
+
+// All calls f for every job.
+func (b *Book) All(f func(*Job)) {
+	for _, j := range b.jobs {
+		f(j)
+	}
+}
--- /dev/null
+++ b/internal/jobs/spec.go
@@ -0,0 +1,210 @@
+// Package jobs holds what users asked for and how far it has come: job specifications,
+// the job table with the stance told to users, tasks as state machines, and the durable
+// plan with its bitmap of finished tasks.
+package jobs
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"regexp"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/planner"
+)
+
+// Kind is how a job's tasks belong together.
+type Kind string
+
+// The kinds.
+const (
+	Array   Kind = "sweep"
+	Gang    Kind = "gang"
+	Service Kind = "daemon"
+)
+
+// priorities in falling order.
+var priorities = map[string]int{"prod": 3, "urgent": 2, "standard": 1, "best_effort": 0}
+
+// MaxTasks is the protocol's bound on a job's tasks.
+const MaxTasks = 100_000
+
+// Spec is a submitted job.
+type Spec struct {
+	ID          string   `json:"name_id"`
+	Class       string   `json:"breed"`
+	Team        string   `json:"warren"`
+	Kind        Kind     `json:"gait"`
+	Priority    string   `json:"urgency"`
+	Tasks       int      `json:"hops"`
+	CPUs        float64  `json:"cpus"`
+	GPUs        float64  `json:"accelerators"`
+	Mem         float64  `json:"memory_gb"`
+	Image       string   `json:"pelt"`
+	ImageGB     float64  `json:"size_gb"`
+	Types       []string `json:"builds"`
+	Zone        *string  `json:"meadow"`
+	OneZone     bool     `json:"same_place"`
+	Spread      bool     `json:"apart"`
+	Spot        bool     `json:"stray"`
+	EstimateS   float64  `json:"stride_s"`
+	CheckpointS float64  `json:"rest_s"`
+	SaveS       float64  `json:"stash_s"`
+	DeadlineS   *float64 `json:"dusk_s"`
+}
+
+// Size is what one task takes.
+func (s *Spec) Size() planner.Size { return planner.Size{CPUs: s.CPUs, GPUs: s.GPUs, Mem: s.Mem} }
+
+// Level is the priority as a number; higher goes first.
+func (s *Spec) Level() int { return priorities[s.Priority] }
+
+// ZoneLimit is how many tasks one zone may hold, 0 for no bound.
+func (s *Spec) ZoneLimit() int {
+	if s.Spread {
+		return (s.Tasks + 1) / 2
+	}
+	return 0
+}
+
+var idForm = regexp.MustCompile(`^req-[0-9]{1,18}$`)
+
+// ValidID tells whether an id has the protocol's form.
+func ValidID(id string) bool { return idForm.MatchString(id) }
+
+// requiredFields must be there and not null.
+var requiredFields = []string{"name_id", "breed", "warren", "gait", "urgency", "hops", "cpus", "accelerators",
+	"memory_gb", "pelt", "size_gb", "same_place", "apart", "stray", "stride_s", "rest_s", "stash_s"}
+
+// ErrMalformed wraps every reason for a 400.
+var ErrMalformed = errors.New("malformed job")
+
+// ParseSpec reads a submission. Its error wraps ErrMalformed and names the field.
+func ParseSpec(body []byte) (*Spec, error) {
+	bad := func(format string, a ...any) (*Spec, error) {
+		return nil, fmt.Errorf("%w: %s", ErrMalformed, fmt.Sprintf(format, a...))
+	}
+	if len(body) > 64<<10 {
+		return bad("body over 64 KiB")
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil || fields == nil {
+		return bad("not a JSON object")
+	}
+	for _, f := range requiredFields {
+		if v, ok := fields[f]; !ok || bytes.Equal(bytes.TrimSpace(v), []byte("null")) {
+			return bad("field %s is missing", f)
+		}
+	}
+	s := &Spec{}
+	if err := json.Unmarshal(body, s); err != nil {
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) {
+			return bad("field %s has the wrong type", te.Field)
+		}
+		return bad("%v", err)
+	}
+	if !ValidID(s.ID) {
+		return bad("name_id is not an id")
+	}
+	if s.Kind != Array && s.Kind != Gang && s.Kind != Service {
+		return bad("gait %q is unknown", s.Kind)
+	}
+	if _, ok := priorities[s.Priority]; !ok {
+		return bad("urgency %q is unknown", s.Priority)
+	}
+	if s.Tasks < 1 || s.Tasks > MaxTasks {
+		return bad("hops must be 1 to %d", MaxTasks)
+	}
+	names := map[string]string{"breed": s.Class, "warren": s.Team, "pelt": s.Image}
+	if s.Zone != nil {
+		names["meadow"] = *s.Zone
+	}
+	for f, v := range names {
+		if v == "" || len(v) > 200 {
+			return bad("%s must have 1 to 200 characters", f)
+		}
+	}
+	if len(s.Types) > 64 || (s.Types != nil && len(s.Types) == 0) {
+		return bad("builds must name 1 to 64 machine types")
+	}
+	for _, t := range s.Types {
+		if t == "" || len(t) > 200 {
+			return bad("builds names no machine type")
+		}
+	}
+	amounts := map[string]float64{"cpus": s.CPUs, "accelerators": s.GPUs, "memory_gb": s.Mem, "size_gb": s.ImageGB,
+		"stride_s": s.EstimateS, "rest_s": s.CheckpointS, "stash_s": s.SaveS}
+	if s.DeadlineS != nil {
+		amounts["dusk_s"] = *s.DeadlineS
+	}
+	for f, v := range amounts {
+		if v < 0 || v > 1e9 || math.IsNaN(v) {
+			return bad("%s is out of range", f)
+		}
+	}
+	if s.CPUs == 0 && s.GPUs == 0 && s.Mem == 0 {
+		return bad("cpus, accelerators and memory_gb are all 0")
+	}
+	return s, nil
+}
+
+// Stance is what users are told of a job.
+type Stance uint8
+
+// The stances that are durable; "running" is only a display of Pending.
+const (
+	Pending Stance = iota
+	Done
+	Cancelled
+)
+
+func (s Stance) String() string { return [...]string{"pending", "done", "cancelled"}[s] }
+
+// Terminal tells whether the stance can change no more.
+func (s Stance) Terminal() bool { return s != Pending }
+
+// Record is a job as it stands in the state service. A terminal one sheds its spec.
+type Record struct {
+	Stance string `json:"stance"`
+	AtMS   int64  `json:"at_ms,omitempty"`
+	N      int    `json:"n"`
+	Spec   *Spec  `json:"spec,omitempty"`
+}
+
+// Prefix is where job records stand.
+const Prefix = "h/j/"
+
+// RecordKey is where a job's record stands.
+func RecordKey(id string) string { return Prefix + id }
+
+// EncodeRecord writes a record.
+func EncodeRecord(st Stance, at int64, n int, spec *Spec) json.RawMessage {
+	r := Record{Stance: st.String(), N: n}
+	if !st.Terminal() {
+		r.AtMS, r.Spec = at, spec
+	}
+	b, _ := json.Marshal(r)
+	return b
+}
+
+func decodeRecord(raw json.RawMessage) (Record, Stance, error) {
+	var r Record
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return r, 0, err
+	}
+	for _, s := range []Stance{Pending, Done, Cancelled} {
+		if r.Stance == s.String() {
+			if s == Pending && r.Spec == nil {
+				return r, 0, errors.New("pending record without a spec")
+			}
+			return r, s, nil
+		}
+	}
+	return r, 0, fmt.Errorf("stance %q", r.Stance)
+}
+
+// Seconds turns the wire's seconds into a duration.
+func Seconds(f float64) time.Duration { return time.Duration(f * float64(time.Second)) }
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,402 @@
+// Package membership decides which controller may act. Each controller keeps a hold with
+// its own key; leader, term and part map change only in one transaction, and every later
+// write of the leader is conditional on its leader key.
+package membership
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+// Keys of this slice.
+const (
+	Prefix    = "h/c/"
+	leaderKey = Prefix + "leader"
+	termKey   = Prefix + "term"
+	mapKey    = Prefix + "map"
+	memberKey = Prefix + "n/"
+)
+
+// State is where this controller stands.
+type State uint8
+
+// The states of membership.
+//
+//	Arriving -> Clearing -> Holding -> Registering -> Member -> Campaigning -> Leading
+//
+// From any of them a lost hold leads back to Holding.
+const (
+	Arriving    State = iota // the keys were not read yet
+	Clearing                 // ending the hold of this controller's former process
+	Holding                  // asking for a hold
+	Registering              // writing the member key
+	Member                   // alive, someone else may lead
+	Campaigning              // a campaign's outcome is open
+	Leading                  // leader key is ours, as long as the hold is
+)
+
+func (s State) String() string {
+	return [...]string{"arriving", "clearing", "holding", "registering", "member", "campaigning", "leading"}[s]
+}
+
+// Leader is the value of the leader key.
+type Leader struct {
+	Node   string `json:"node"`
+	Term   uint64 `json:"term"`
+	Hold   uint64 `json:"hold"`
+	Public string `json:"public"`
+}
+
+type termValue struct {
+	Term uint64 `json:"term"`
+}
+
+type memberValue struct {
+	Node string `json:"node"`
+	Hold uint64 `json:"hold"`
+}
+
+// PartMap says which controllers own machines, and since which term.
+type PartMap struct {
+	Term   uint64   `json:"term"`
+	Owners []string `json:"owners"`
+}
+
+// Owner finds a machine's owner by rendezvous hash; "" if there is none.
+func (p PartMap) Owner(machine string) string {
+	best, owner := uint64(0), ""
+	for _, o := range p.Owners {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(o))
+		_, _ = h.Write([]byte{0})
+		_, _ = h.Write([]byte(machine))
+		// FNV's high bits vary too little on short names: mix them.
+		v := h.Sum64()
+		v ^= v >> 33
+		v *= 0xff51afd7ed558ccd
+		v ^= v >> 33
+		if owner == "" || v > best {
+			best, owner = v, o
+		}
+	}
+	return owner
+}
+
+// Config is what a controller brings along.
+type Config struct {
+	Node, Public string
+	TTL          time.Duration
+	Rng          *rand.Rand
+	// OnLead and OnLose tell the start and the end of a term of our own.
+	OnLead func(now time.Duration, term uint64)
+	OnLose func(now time.Duration)
+}
+
+// Membership is the state machine; it belongs to the event loop.
+type Membership struct {
+	cfg   Config
+	store *store.Client
+	state State
+
+	hold      uint64
+	until     time.Duration // authority ends
+	renewing  bool
+	renewAt   time.Duration
+	retryAt   time.Duration
+	campaign  time.Duration // not before
+	quiet     time.Duration // do not campaign before, after resigning
+	busy      bool
+	synced    bool
+	freshness func() time.Duration
+
+	leader        Leader
+	leaderVersion uint64
+	term          termValue
+	termVersion   uint64
+	parts         PartMap
+	mapVersion    uint64
+}
+
+// New makes a membership; fresh tells when the mirrored keys were last surely complete.
+func New(cfg Config, c *store.Client, fresh func() time.Duration) *Membership {
+	return &Membership{cfg: cfg, store: c, freshness: fresh}
+}
+
+// to is the only place where the state changes.
+func (m *Membership) to(now time.Duration, s State) {
+	if s == m.state {
+		return
+	}
+	was := m.state
+	m.state = s
+	slog.Info("membership", "from", was.String(), "to", s.String(), "term", m.term.Term, "hold", m.hold)
+	if was == Leading {
+		m.cfg.OnLose(now)
+	}
+	if s == Leading {
+		m.cfg.OnLead(now, m.leader.Term)
+	}
+}
+
+// State is the present state.
+func (m *Membership) State() State { return m.state }
+
+// Term is the term of our own lead.
+func (m *Membership) Term() uint64 { return m.leader.Term }
+
+// Leader is the leader as last seen; Node is "" if there is none.
+func (m *Membership) Leader() Leader { return m.leader }
+
+// Guard is the condition that every write of the leader carries.
+func (m *Membership) Guard() store.Cond { return store.Cond{Key: leaderKey, Version: m.leaderVersion} }
+
+// Authority tells whether this controller may answer reports and send commands. It ends a
+// margin before the hold can, counted from when the last good renewal was sent, and also
+// when the followed keys are too old to be trusted to show cancellations.
+func (m *Membership) Authority(now time.Duration) bool {
+	return m.state == Leading && now < m.until && now-m.freshness() < 3*m.cfg.TTL
+}
+
+// Owns tells whether a machine lies in our part.
+func (m *Membership) Owns(machine string) bool {
+	return m.state == Leading && m.parts.Owner(machine) == m.cfg.Node
+}
+
+// Owner is the controller that a machine's worker should report to; "" if not known.
+func (m *Membership) Owner(machine string) string {
+	if m.leader.Node == "" {
+		return ""
+	}
+	return m.parts.Owner(machine)
+}
+
+// Resign ends the hold at once and stays away from campaigns for a while.
+func (m *Membership) Resign(now time.Duration, why string) {
+	slog.Info("resigning", "cause", why, "term", m.leader.Term)
+	m.quiet = now + 15*time.Second
+	if m.hold != 0 {
+		m.store.EndHold(m.hold, func(bool) {})
+	}
+	m.lose(now)
+}
+
+func (m *Membership) lose(now time.Duration) {
+	m.hold, m.until, m.busy, m.renewing = 0, 0, false, false
+	m.retryAt = now + 100*time.Millisecond
+	m.to(now, Holding)
+}
+
+// Reset takes a new reading of all keys: those it lacks are gone.
+func (m *Membership) Reset(now time.Duration, items []store.Item) {
+	seen := map[string]bool{}
+	for _, it := range items {
+		seen[it.Key] = true
+	}
+	if !seen[leaderKey] && m.leaderVersion != 0 {
+		m.Drop(now, leaderKey, ^uint64(0))
+	}
+}
+
+// Synced tells that the keys have been read.
+func (m *Membership) Synced(now time.Duration) {
+	m.synced = true
+	if m.state == Arriving {
+		m.to(now, Clearing)
+	}
+}
+
+// Item takes over one changed key.
+func (m *Membership) Item(now time.Duration, it store.Item) {
+	switch it.Key {
+	case leaderKey:
+		if it.Version <= m.leaderVersion {
+			return
+		}
+		var l Leader
+		if json.Unmarshal(it.Value, &l) != nil {
+			return
+		}
+		mine := m.state == Leading && l.Term == m.leader.Term && l.Node == m.cfg.Node
+		m.leader, m.leaderVersion = l, it.Version
+		m.judge(now, mine)
+	case termKey:
+		if it.Version > m.termVersion && json.Unmarshal(it.Value, &m.term) == nil {
+			m.termVersion = it.Version
+		}
+	case mapKey:
+		if it.Version > m.mapVersion && json.Unmarshal(it.Value, &m.parts) == nil {
+			m.mapVersion = it.Version
+		}
+	}
+}
+
+// judge looks at a new leader key.
+func (m *Membership) judge(now time.Duration, same bool) {
+	if same {
+		return
+	}
+	// A campaign of ours may land late: it counts as long as its hold is ours.
+	if m.leader.Node == m.cfg.Node && m.leader.Hold == m.hold && m.hold != 0 {
+		if m.state == Member || m.state == Campaigning {
+			m.busy = false
+			m.to(now, Leading)
+		}
+		return
+	}
+	if m.state == Leading {
+		m.lose(now)
+	} else if m.state == Campaigning {
+		m.busy = false
+		m.to(now, Member)
+	}
+}
+
+// Drop takes over the end of a key.
+func (m *Membership) Drop(now time.Duration, key string, version uint64) {
+	if key != leaderKey || version <= m.leaderVersion {
+		return
+	}
+	m.leader.Node = ""
+	m.leaderVersion = 0
+	m.campaign = now + time.Duration(m.cfg.Rng.Int64N(int64(150*time.Millisecond)))
+	if m.state == Leading {
+		m.lose(now)
+	}
+}
+
+// Tick sends what is due.
+func (m *Membership) Tick(now time.Duration) {
+	m.renew(now)
+	if m.busy || now < m.retryAt || !m.synced {
+		return
+	}
+	retry := func() { m.busy, m.retryAt = false, m.store.Now()+300*time.Millisecond }
+	switch m.state {
+	case Clearing:
+		m.busy = true
+		m.store.Get(memberKey+m.cfg.Node, store.Safety, func(it store.Item, err error) {
+			var v memberValue
+			switch {
+			case err != nil:
+				retry()
+			case it.Version == 0 || json.Unmarshal(it.Value, &v) != nil || v.Hold == 0:
+				m.busy = false
+				m.to(now, Holding)
+			default:
+				// The former process of this very controller is dead, so its hold
+				// protects nobody: ending it spares the cluster its time to live.
+				m.store.EndHold(v.Hold, func(ok bool) {
+					if !ok {
+						retry()
+						return
+					}
+					m.busy = false
+					m.to(m.store.Now(), Holding)
+				})
+			}
+		})
+	case Holding:
+		m.busy = true
+		m.store.NewHold(m.cfg.TTL, func(id uint64, err error) {
+			if err != nil {
+				retry()
+				return
+			}
+			m.busy = false
+			m.hold = id
+			m.renewed(now)
+			m.to(m.store.Now(), Registering)
+		})
+	case Registering:
+		m.busy = true
+		hold := m.hold
+		v, _ := json.Marshal(memberValue{m.cfg.Node, hold})
+		m.store.Txn(store.Txn{Then: []store.Op{{Put: memberKey + m.cfg.Node, Value: v, Hold: m.hold}}}, store.Safety,
+			func(r store.Result) {
+				if m.hold != hold {
+					return // the hold was lost meanwhile, another attempt is under way
+				}
+				switch r.Outcome {
+				case store.Committed:
+					m.busy = false
+					m.to(m.store.Now(), Member)
+				case store.NoHold:
+					m.lose(m.store.Now())
+				default:
+					retry()
+				}
+			})
+	case Member:
+		if m.leader.Node == "" && now >= m.campaign && now >= m.quiet && now < m.until {
+			m.run(now, retry)
+		}
+	}
+}
+
+// run campaigns: one transaction takes the lead, the next term and the part map.
+func (m *Membership) run(now time.Duration, retry func()) {
+	m.busy = true
+	m.to(now, Campaigning)
+	next := m.term.Term + 1
+	lv, _ := json.Marshal(Leader{m.cfg.Node, next, m.hold, m.cfg.Public})
+	tv, _ := json.Marshal(termValue{next})
+	pm := PartMap{Term: next, Owners: []string{m.cfg.Node}}
+	pv, _ := json.Marshal(pm)
+	hold := m.hold
+	m.store.Txn(store.Txn{
+		If: []store.Cond{{Key: leaderKey}, {Key: termKey, Version: m.termVersion}},
+		Then: []store.Op{{Put: leaderKey, Value: lv, Hold: m.hold}, {Put: termKey, Value: tv},
+			{Put: mapKey, Value: pv}},
+	}, store.Safety, func(r store.Result) {
+		now := m.store.Now()
+		if m.state != Campaigning || m.hold != hold {
+			return
+		}
+		switch r.Outcome {
+		case store.Committed:
+			for key, v := range map[string]json.RawMessage{termKey: tv, mapKey: pv} {
+				m.Item(now, store.Item{Key: key, Value: v, Version: r.Revision})
+			}
+			m.Item(now, store.Item{Key: leaderKey, Value: lv, Version: r.Revision})
+		case store.NoHold:
+			m.lose(now)
+		default:
+			// Lost, or open: the followed keys will show who leads.
+			retry()
+			m.campaign = now + 300*time.Millisecond
+			m.to(now, Member)
+		}
+	})
+}
+
+func (m *Membership) renewed(sent time.Duration) {
+	m.until = sent + m.cfg.TTL - m.cfg.TTL/200 - 250*time.Millisecond
+	m.renewAt = sent + m.cfg.TTL/4
+}
+
+func (m *Membership) renew(now time.Duration) {
+	if m.hold == 0 || m.renewing || now < m.renewAt {
+		return
+	}
+	m.renewing = true
+	id := m.hold
+	m.store.RenewHold(id, func(ok, gone bool) {
+		if m.hold != id {
+			return
+		}
+		m.renewing = false
+		switch at := m.store.Now(); {
+		case ok:
+			m.renewed(now)
+		case gone:
+			m.lose(at)
+		default:
+			m.renewAt = at + 250*time.Millisecond
+		}
+	})
+}
--- /dev/null
+++ b/internal/store/mirror.go
@@ -0,0 +1,116 @@
+package store
+
+import (
+	"log/slog"
+	"time"
+)
+
+// MirrorState names what a mirror is doing.
+type MirrorState uint8
+
+// The states of a mirror.
+const (
+	Empty     MirrorState = iota // nothing read yet, or the position was lost
+	Listing                      // reading all keys
+	Following                    // up to date, waiting for changes
+)
+
+// Mirror keeps a copy of all keys with a prefix by reading and then following them.
+type Mirror struct {
+	client *Client
+	prefix string
+	state  MirrorState
+	busy   bool
+	rev    uint64
+	next   time.Duration // no request before
+	fresh  time.Duration
+	synced bool
+
+	// OnItem, OnDrop and OnReset carry changes; OnReset comes before the items of a new
+	// reading, and OnSynced after them.
+	OnItem   func(Item)
+	OnDrop   func(key string, version uint64)
+	OnReset  func(items []Item)
+	OnSynced func()
+}
+
+const followWait = 1500 * time.Millisecond
+
+// NewMirror makes a mirror; it starts with the first Tick.
+func NewMirror(c *Client, prefix string) *Mirror { return &Mirror{client: c, prefix: prefix} }
+
+// Synced tells whether the keys were ever read in full.
+func (m *Mirror) Synced() bool { return m.synced }
+
+// Fresh is a time at which the copy was surely complete.
+func (m *Mirror) Fresh() time.Duration { return m.fresh }
+
+// to is the only place where the state changes.
+func (m *Mirror) to(s MirrorState) { m.state = s }
+
+// Tick sends what is due.
+func (m *Mirror) Tick(now time.Duration) {
+	if m.busy || now < m.next {
+		return
+	}
+	switch m.state {
+	case Empty:
+		m.to(Listing)
+		m.busy = true
+		m.client.List(m.prefix, func(items []Item, rev uint64, err error) { m.listed(now, items, rev, err) })
+	case Following:
+		m.busy = true
+		m.client.Follow(m.prefix, m.rev, followWait, func(rev uint64, ev []Event, gone bool, err error) {
+			m.followed(now, rev, ev, gone, err)
+		})
+	}
+}
+
+func (m *Mirror) listed(sent time.Duration, items []Item, rev uint64, err error) {
+	m.busy = false
+	if err != nil {
+		slog.Debug("reading all keys failed", "prefix", m.prefix, "cause", err)
+		m.to(Empty)
+		m.next = m.client.now() + 300*time.Millisecond
+		return
+	}
+	m.to(Following)
+	m.rev, m.fresh, m.synced = rev, sent, true
+	if m.OnReset != nil {
+		m.OnReset(items)
+	}
+	for _, it := range items {
+		m.OnItem(it)
+	}
+	if m.OnSynced != nil {
+		m.OnSynced()
+	}
+	m.Tick(m.client.now())
+}
+
+func (m *Mirror) followed(sent time.Duration, rev uint64, ev []Event, gone bool, err error) {
+	m.busy = false
+	now := m.client.now()
+	switch {
+	case gone:
+		// The service keeps a bounded number of changes: ours is no longer among them.
+		slog.Info("position lost, reading all keys again", "prefix", m.prefix)
+		m.to(Empty)
+	case err != nil:
+		m.next = now + 250*time.Millisecond
+		return
+	default:
+		m.fresh = sent
+		for _, e := range ev {
+			if e.Put != "" {
+				m.OnItem(Item{Key: e.Put, Value: e.Value, Version: e.Version})
+			} else if e.Delete != "" {
+				m.OnDrop(e.Delete, e.Version)
+			}
+		}
+		m.rev = max(m.rev, rev)
+		// A short pause gathers bursts of changes into one answer.
+		m.next = now + 15*time.Millisecond
+	}
+	m.Tick(now)
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,331 @@
+// Package store is the client of the state service: transactions with a rate budget,
+// reads, holds and a follow that survives a lost position.
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/httpio"
+)
+
+// Cond asks that a key has a version; 0 means that it does not exist.
+type Cond struct {
+	Key     string `json:"k"`
+	Version uint64 `json:"stamp"`
+}
+
+// Op sets or drops one key.
+type Op struct {
+	Put    string          `json:"set,omitempty"`
+	Value  json.RawMessage `json:"data,omitempty"`
+	Hold   uint64          `json:"tether,omitempty"`
+	Delete string          `json:"drop,omitempty"`
+}
+
+// Txn is an atomic change.
+type Txn struct {
+	If   []Cond `json:"if"`
+	Then []Op   `json:"apply,omitempty"`
+}
+
+// Item is one stored key.
+type Item struct {
+	Key     string          `json:"k"`
+	Value   json.RawMessage `json:"data"`
+	Version uint64          `json:"stamp"`
+	Hold    uint64          `json:"tether"`
+}
+
+// Event is one followed change.
+type Event struct {
+	Put     string          `json:"set"`
+	Value   json.RawMessage `json:"data"`
+	Version uint64          `json:"stamp"`
+	Delete  string          `json:"drop"`
+}
+
+// Outcome is how a request ended.
+type Outcome uint8
+
+// The outcomes. Unknown must be resolved by a read before anything depends on it.
+const (
+	Committed Outcome = iota
+	Conflict
+	NotDone // surely not carried out: outage, limit, or our own budget
+	NoHold  // the hold named is gone
+	Unknown // may have been carried out, or may be yet
+)
+
+func (o Outcome) String() string {
+	return [...]string{"committed", "conflict", "not done", "no hold", "unknown"}[o]
+}
+
+// Result is the answer to a transaction.
+type Result struct {
+	Outcome  Outcome
+	Revision uint64
+	Failed   []string
+}
+
+// Class orders requests when the budget runs low.
+type Class uint8
+
+// Safety requests may use the whole budget; Ordinary ones leave a reserve.
+const (
+	Safety Class = iota
+	Ordinary
+)
+
+// Budget is a token bucket that leaves a reserve for safety.
+type Budget struct {
+	rate, burst, tokens float64
+	at                  time.Duration
+}
+
+// NewBudget makes a full bucket for rate per second.
+func NewBudget(rate float64) *Budget {
+	burst := max(1, rate*0.8)
+	return &Budget{rate: rate, burst: burst, tokens: burst}
+}
+
+// SetRate changes the rate from now on.
+func (b *Budget) SetRate(now time.Duration, rate float64) {
+	b.fill(now)
+	b.rate, b.burst = rate, max(1, rate*0.8)
+	b.tokens = min(b.tokens, b.burst)
+}
+
+func (b *Budget) fill(now time.Duration) {
+	if now > b.at {
+		b.tokens = min(b.burst, b.tokens+b.rate*(now-b.at).Seconds())
+		b.at = now
+	}
+}
+
+// Has tells whether n may be taken by a class.
+func (b *Budget) Has(now time.Duration, n float64, c Class) bool {
+	b.fill(now)
+	if n > b.burst {
+		// One transaction may be larger than the bucket: it waits for a full one.
+		return b.tokens >= b.burst
+	}
+	if c == Safety {
+		return b.tokens >= n
+	}
+	return b.tokens >= n+b.burst*0.2
+}
+
+// Take takes n; the bucket may go into debt after an oversized transaction.
+func (b *Budget) Take(n float64) { b.tokens -= n }
+
+// Client talks to the state service. It belongs to the event loop.
+type Client struct {
+	addr   string
+	send   httpio.Sender
+	now    func() time.Duration
+	reqs   *Budget
+	writes *Budget
+	ops    int
+	lastOK time.Duration
+}
+
+// Share is the part of the service's limits that a controller may use.
+type Share struct{ RPS, WriteRPS float64 }
+
+// New makes a client with a share of the service's limits.
+func New(addr string, send httpio.Sender, now func() time.Duration, s Share, txnOps int) *Client {
+	return &Client{addr: addr, send: send, now: now, ops: txnOps,
+		reqs: NewBudget(s.RPS), writes: NewBudget(s.WriteRPS)}
+}
+
+// SetShare changes the budget, for example on becoming leader.
+func (c *Client) SetShare(s Share) {
+	now := c.now()
+	c.reqs.SetRate(now, s.RPS)
+	c.writes.SetRate(now, s.WriteRPS)
+}
+
+// TxnOps is the most operations in one transaction.
+func (c *Client) TxnOps() int { return c.ops }
+
+// LastOK is when the service last carried out a request of ours.
+func (c *Client) LastOK() time.Duration { return c.lastOK }
+
+// Room tells whether a transaction with n writes would be within the budget now.
+func (c *Client) Room(n int, class Class) bool {
+	now := c.now()
+	return c.reqs.Has(now, 1, class) && (n == 0 || c.writes.Has(now, float64(n), class))
+}
+
+func (c *Client) call(req httpio.Request, writes int, class Class, done func(httpio.Response)) {
+	if !c.Room(writes, class) {
+		done(httpio.Response{Status: 429})
+		return
+	}
+	c.reqs.Take(1)
+	c.writes.Take(float64(writes))
+	c.send.Send(c.addr, req, func(r httpio.Response) {
+		if r.Err == nil && r.Status != 503 && r.Status != 429 {
+			c.lastOK = c.now()
+		}
+		done(r)
+	})
+}
+
+// Txn sends one transaction.
+func (c *Client) Txn(t Txn, class Class, done func(Result)) {
+	if t.If == nil {
+		t.If = []Cond{}
+	}
+	body, err := json.Marshal(t)
+	if err != nil || len(body) > 64<<10 {
+		done(Result{Outcome: NotDone})
+		return
+	}
+	c.call(httpio.Request{Method: "POST", Path: "/txn", Body: body, Timeout: 2 * time.Second}, len(t.Then), class,
+		func(r httpio.Response) { done(parseTxn(r)) })
+}
+
+func parseTxn(r httpio.Response) Result {
+	var b struct {
+		Revision uint64   `json:"epoch"`
+		Failed   []string `json:"failed"`
+		Error    string   `json:"error"`
+	}
+	switch {
+	case r.Refused || r.Status == 429 || r.Status == 503:
+		return Result{Outcome: NotDone}
+	case r.Err != nil:
+		return Result{Outcome: Unknown}
+	}
+	_ = json.Unmarshal(r.Body, &b)
+	switch r.Status {
+	case 200:
+		return Result{Outcome: Committed, Revision: b.Revision}
+	case 409:
+		return Result{Outcome: Conflict, Revision: b.Revision, Failed: b.Failed}
+	case 400:
+		if b.Error == "no such lease" {
+			return Result{Outcome: NoHold}
+		}
+		return Result{Outcome: NotDone}
+	}
+	return Result{Outcome: Unknown}
+}
+
+// Get reads one key; a missing key has version 0.
+func (c *Client) Get(key string, class Class, done func(Item, error)) {
+	c.call(httpio.Request{Method: "GET", Path: "/keys/" + key, Timeout: 1500 * time.Millisecond}, 0, class,
+		func(r httpio.Response) {
+			var it Item
+			switch {
+			case r.Err == nil && r.Status == 404:
+				done(Item{Key: key}, nil)
+			case r.Err == nil && r.Status == 200 && json.Unmarshal(r.Body, &it) == nil:
+				done(it, nil)
+			default:
+				done(Item{}, failure(r))
+			}
+		})
+}
+
+func failure(r httpio.Response) error {
+	if r.Err != nil {
+		return r.Err
+	}
+	return fmt.Errorf("state service answered %d", r.Status)
+}
+
+// List reads all keys with a prefix, page by page, and the revision of the first page: a
+// follow from there sees every change the pages may have missed.
+func (c *Client) List(prefix string, done func([]Item, uint64, error)) {
+	c.list(prefix, "", nil, 0, done)
+}
+
+func (c *Client) list(prefix, after string, got []Item, rev uint64, done func([]Item, uint64, error)) {
+	p := "/keys?starts=" + url.QueryEscape(prefix) + "&limit=1000"
+	if after != "" {
+		p += "&since=" + url.QueryEscape(after)
+	}
+	c.call(httpio.Request{Method: "GET", Path: p, Timeout: 4 * time.Second}, 0, Safety, func(r httpio.Response) {
+		var b struct {
+			Items    []Item `json:"pairs"`
+			More     bool   `json:"has_next"`
+			Revision uint64 `json:"epoch"`
+		}
+		if r.Err != nil || r.Status != 200 || json.Unmarshal(r.Body, &b) != nil {
+			done(nil, 0, failure(r))
+			return
+		}
+		if after == "" {
+			rev = b.Revision
+		}
+		got = append(got, b.Items...)
+		if b.More && len(b.Items) > 0 {
+			c.list(prefix, b.Items[len(b.Items)-1].Key, got, rev, done)
+			return
+		}
+		done(got, rev, nil)
+	})
+}
+
+// Follow waits for changes after a revision. gone tells that the revision is too old and
+// the keys must be read again.
+func (c *Client) Follow(prefix string, after uint64, wait time.Duration, done func(rev uint64, ev []Event, gone bool, err error)) {
+	p := "/follow?starts=" + url.QueryEscape(prefix) + "&since=" + strconv.FormatUint(after, 10) +
+		"&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	// An open follow may outlast an outage, so its time limit is far above its wait.
+	c.call(httpio.Request{Method: "GET", Path: p, Timeout: wait + 20*time.Second}, 0, Safety, func(r httpio.Response) {
+		var b struct {
+			Revision uint64  `json:"epoch"`
+			Events   []Event `json:"events"`
+		}
+		switch {
+		case r.Err == nil && r.Status == 410:
+			done(0, nil, true, nil)
+		case r.Err == nil && r.Status == 200 && json.Unmarshal(r.Body, &b) == nil:
+			done(b.Revision, b.Events, false, nil)
+		default:
+			done(0, nil, false, failure(r))
+		}
+	})
+}
+
+// NewHold creates a hold.
+func (c *Client) NewHold(ttl time.Duration, done func(id uint64, err error)) {
+	body, _ := json.Marshal(map[string]int64{"ttl_ms": ttl.Milliseconds()})
+	c.call(httpio.Request{Method: "POST", Path: "/holds", Body: body, Timeout: 1500 * time.Millisecond}, 0, Safety,
+		func(r httpio.Response) {
+			var b struct {
+				ID uint64 `json:"tether"`
+			}
+			if r.Err != nil || r.Status != 200 || json.Unmarshal(r.Body, &b) != nil || b.ID == 0 {
+				done(0, failure(r))
+				return
+			}
+			done(b.ID, nil)
+		})
+}
+
+// RenewHold renews a hold; gone tells that it has ended.
+func (c *Client) RenewHold(id uint64, done func(ok, gone bool)) {
+	c.call(httpio.Request{Method: "POST", Path: fmt.Sprintf("/holds/%d/touch", id), Body: []byte("{}"), Timeout: 1500 * time.Millisecond},
+		0, Safety, func(r httpio.Response) {
+			done(r.Err == nil && r.Status == 200, r.Err == nil && r.Status == 404)
+		})
+}
+
+// EndHold ends a hold at once.
+func (c *Client) EndHold(id uint64, done func(ok bool)) {
+	c.call(httpio.Request{Method: "DELETE", Path: fmt.Sprintf("/holds/%d", id), Timeout: 1500 * time.Millisecond},
+		0, Safety, func(r httpio.Response) {
+			done(r.Err == nil && (r.Status/100 == 2 || r.Status == 404))
+		})
+}
+
+// Now is the steady clock.
+func (c *Client) Now() time.Duration { return c.now() }
