--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -52,7 +52,7 @@
 }
 
 // Running lists what is on a machine with its remaining time.
-func (f *Fleet) Running(now time.Duration, m *Machine) []planner.Work { return f.work(now, m, -1) }
+func (f *Fleet) Running(now time.Duration, m *Machine) []planner.Work { return f.work(now, m, -1, nil) }
 
 // Faulty tells whether a machine fails what runs on it: several jobs in a row.
 func (f *Fleet) Faulty(m *Machine) bool { return m.errors >= 2 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -70,7 +70,6 @@
 	ranked time.Duration
 
 	classes map[int32]*classStats
-	perGPU  planner.Size // most CPU and memory that GPU jobs take per GPU
 
 	writing bool
 	retry   func(time.Duration)
@@ -226,9 +225,6 @@
 	size := j.Spec.Size()
 	m.On[Ref{j.Index, t}] = struct{}{}
 	m.Use = m.Use.Add(size)
-	if size.GPUs == 0 {
-		m.CPUOnly = m.CPUOnly.Add(size)
-	}
 	f.Ledger.Take(j.Team, size)
 	j.ZoneUse[m.Zone]++
 	if ty := f.typ(m); ty != nil {
@@ -248,11 +244,8 @@
 	size := j.Spec.Size()
 	delete(m.On, Ref{j.Index, t})
 	m.Use = m.Use.Sub(size)
-	if size.GPUs == 0 {
-		m.CPUOnly = m.CPUOnly.Sub(size)
-	}
 	if len(m.On) == 0 {
-		m.Use, m.CPUOnly = planner.Size{}, planner.Size{} // decimals leave dust
+		m.Use = planner.Size{} // decimals leave dust
 		m.IdleSince = now
 	}
 	f.Ledger.Give(j.Team, size)
@@ -396,20 +389,16 @@
 	return best, true
 }
 
-// Rank orders the live jobs: priority first, then the latest start that still meets
-// an aim; jobs past all aims come last, oldest first.
+// Rank orders the live jobs: priority first, then what lies within its team's guarantee,
+// then the latest start that still meets an aim; jobs past all aims come last, oldest
+// first.
 func (f *Fleet) Rank(now time.Duration) {
 	f.ranked = now
 	f.order = f.order[:0]
-	f.perGPU = planner.Size{}
 	f.Book.Live(func(j *jobs.Job) {
 		if j.Tasks != nil && j.Spec != nil {
 			f.order = append(f.order, j)
 		}
-		if j.Spec != nil && j.Spec.GPUs > 0 {
-			f.perGPU.CPUs = max(f.perGPU.CPUs, j.Spec.CPUs/j.Spec.GPUs)
-			f.perGPU.Mem = max(f.perGPU.Mem, j.Spec.Mem/j.Spec.GPUs)
-		}
 	})
 	sort.Slice(f.order, func(a, b int) bool {
 		if f.order[a].At != f.order[b].At {
@@ -429,7 +418,7 @@
 		n := float64(j.N - j.DoneN)
 		sum := demand[j.Team].Add(planner.Size{CPUs: s.CPUs * n, GPUs: s.GPUs * n})
 		demand[j.Team] = sum
-		f.within[j.Index] = f.Ledger.Within(j.Team, sum)
+		f.within[j.Index] = f.Ledger.Within(j.Team, s, sum)
 		d, ok := f.due(now, j)
 		keys[j.Index] = key{d, ok}
 	}
@@ -438,6 +427,11 @@
 		if x.Level != y.Level {
 			return x.Level > y.Level
 		}
+		// What may preempt the other must also rank before it, or the room it made
+		// would be taken by its victims again.
+		if wx, wy := f.within[x.Index], f.within[y.Index]; wx != wy {
+			return wx
+		}
 		kx, ky := keys[x.Index], keys[y.Index]
 		if kx.ok != ky.ok {
 			return kx.ok
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -66,9 +66,7 @@
 
 	Size planner.Size
 	Use  planner.Size // by tasks that may be here
-	// CPUOnly is the part of Use by tasks without GPUs.
-	CPUOnly planner.Size
-	On      map[Ref]struct{}
+	On   map[Ref]struct{}
 	// Lanes holds the planned, not yet started tasks by job.
 	Lanes   map[jobs.Index][]int32
 	Planned int
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -17,21 +17,9 @@
 	manyWork   = 64   // planned tasks read one by one into lane loads
 )
 
-// usable is the part of a machine that a job may fill: tasks without GPUs leave the CPU
-// and memory that its GPUs will need.
-func (f *Fleet) usable(m *Machine, j *jobs.Job) planner.Size {
-	if j.Spec.GPUs > 0 || m.Size.GPUs == 0 {
-		return m.Size
-	}
-	return planner.Size{CPUs: max(0, m.Size.CPUs-f.perGPU.CPUs*m.Size.GPUs), Mem: max(0, m.Size.Mem-f.perGPU.Mem*m.Size.GPUs)}
-}
-
 // fits tells whether one more task of a job has room on a machine now.
 func (f *Fleet) fits(m *Machine, j *jobs.Job) bool {
 	s := j.Spec.Size()
-	if s.GPUs == 0 && m.Size.GPUs > 0 && !m.CPUOnly.Add(s).Fits(f.usable(m, j)) {
-		return false
-	}
 	free := m.Free()
 	if m.claimRank < f.rankOf(j) {
 		free = free.Sub(m.claim)
@@ -167,8 +155,8 @@
 }
 
 // work lists what loads a machine: what is on it, then what is planned there and ranks
-// before the job.
-func (f *Fleet) work(now time.Duration, m *Machine, rank int) []planner.Work {
+// before the job. Work that the job may preempt hardly counts.
+func (f *Fleet) work(now time.Duration, m *Machine, rank int, over *jobs.Job) []planner.Work {
 	var ws []planner.Work
 	refs := make([]Ref, 0, len(m.On))
 	for r := range m.On {
@@ -178,7 +166,7 @@
 	for _, r := range refs {
 		j := f.job(r.Job)
 		left := 1.0
-		if !j.Stance.Terminal() {
+		if !j.Stance.Terminal() && (over == nil || !f.mayPreempt(over, j)) {
 			left = f.left(now, j, r.Task)
 		}
 		ws = append(ws, planner.Work{Size: j.Spec.Size(), Left: left})
@@ -227,7 +215,7 @@
 		if m.Condition != Acting || m.Retiring || !f.allowed(m, j) || (zone != jobs.None && m.Zone != zone) {
 			continue
 		}
-		loads := planner.Lanes(f.usable(m, j), size, f.work(now, m, f.rankOf(j)))
+		loads := planner.Lanes(m.Size, size, f.work(now, m, f.rankOf(j), j))
 		if len(loads) == 0 {
 			continue
 		}
@@ -317,7 +305,7 @@
 	var ps []prospect
 	size := j.Spec.Size()
 	for _, m := range f.machines {
-		if m.Condition != Acting || m.Retiring || !f.allowed(m, j) || !size.Fits(f.usable(m, j)) {
+		if m.Condition != Acting || m.Retiring || !f.allowed(m, j) || !size.Fits(m.Size) {
 			continue
 		}
 		p := prospect{m: m, fetch: f.fetchS(j, m)}
@@ -409,6 +397,9 @@
 	} else {
 		return
 	}
+	if j.N == 1 && ps[0].at+ps[0].fetch > patience && f.preemptFor(now, j, ps) {
+		return
+	}
 	n := 0
 	for _, p := range ps {
 		if j.Spec.OneZone && p.m.Zone != ps[0].m.Zone {
@@ -478,6 +469,7 @@
 			f.placeService(now, j)
 		default:
 			f.planArray(now, j)
+			f.preemptArray(now, j)
 		}
 	}
 	for _, m := range f.machines {
@@ -579,7 +571,7 @@
 		if v == m || len(ts) == 0 || !j.IsDurable(ts[len(ts)-1]) {
 			continue
 		}
-		n := max(1, j.Spec.Size().Copies(f.usable(v, j)))
+		n := max(1, j.Spec.Size().Copies(v.Size))
 		wait := f.freeIn(now, v, j)
 		if f.fits(v, j) {
 			wait = 0
--- /dev/null
+++ b/internal/fleet/preempt.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"log/slog"
+	"sort"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/planner"
+)
+
+// patience is how many seconds a job waits for a natural end before it preempts.
+const patience = 3.0
+
+// mayPreempt tells whether a job may have another's tasks stopped: those of a lower
+// priority, and what another team runs in excess of its guarantee if the job lies within
+// its own.
+func (f *Fleet) mayPreempt(j, victim *jobs.Job) bool {
+	if j == victim || victim.Spec == nil || j.Spec == nil || (victim.Spec.Kind != jobs.Array && victim.N > 1) {
+		return false
+	}
+	if victim.Level < j.Level {
+		return true
+	}
+	return f.within[j.Index] && victim.Team != j.Team && !f.within[victim.Index]
+}
+
+// loss is the work that stopping a task would waste, in seconds.
+func (f *Fleet) loss(now time.Duration, j *jobs.Job, t int32) float64 {
+	k := &j.Tasks[t]
+	if k.Phase != jobs.Running {
+		return 0
+	}
+	if j.Spec.CheckpointS > 0 {
+		return j.Spec.SaveS
+	}
+	return (now - k.RunSince).Seconds()
+}
+
+// victims finds the tasks whose end would make room for one task of a job on a machine,
+// at the least loss; ok is false if there is no such set.
+func (f *Fleet) victims(now time.Duration, m *Machine, j *jobs.Job) (out []Ref, lost float64, ok bool) {
+	type candidate struct {
+		Ref
+		lost float64
+	}
+	free := m.Free().Sub(f.waitingHere(m))
+	if m.claimRank < f.rankOf(j) {
+		free = free.Sub(m.claim)
+	}
+	size := j.Spec.Size()
+	var cs []candidate
+	for r := range m.On {
+		v := f.job(r.Job)
+		k := &v.Tasks[r.Task]
+		switch {
+		case k.Halting:
+			free = free.Add(v.Spec.Size()) // it is on its way out already
+		case k.State == jobs.OnMachine && f.mayPreempt(j, v):
+			cs = append(cs, candidate{r, f.loss(now, v, r.Task)})
+		}
+	}
+	sort.Slice(cs, func(a, b int) bool {
+		if cs[a].lost != cs[b].lost {
+			return cs[a].lost < cs[b].lost
+		}
+		if cs[a].Job != cs[b].Job {
+			return cs[a].Job < cs[b].Job
+		}
+		return cs[a].Task < cs[b].Task
+	})
+	for _, c := range cs {
+		if size.Fits(free) {
+			break
+		}
+		free = free.Add(f.job(c.Job).Spec.Size())
+		out = append(out, c.Ref)
+		lost += c.lost
+	}
+	return out, lost, size.Fits(free)
+}
+
+// preemptFor makes room for a gang of one on the machine where it can start soonest,
+// counting wasted work as delay.
+func (f *Fleet) preemptFor(now time.Duration, j *jobs.Job, ps []prospect) bool {
+	var best *Machine
+	var stop []Ref
+	cost := ps[0].at + ps[0].fetch - patience
+	for _, p := range ps {
+		if p.at == 0 {
+			continue
+		}
+		refs, lost, ok := f.victims(now, p.m, j)
+		weight := 1.0
+		if f.within[j.Index] {
+			weight = 0.05 // the guarantee goes before the loss
+		}
+		if c := 1 + p.fetch + weight*lost; ok && c < cost {
+			best, stop, cost = p.m, refs, c
+		}
+	}
+	if best == nil {
+		return false
+	}
+	f.stop(now, best, j, stop)
+	best.claim, best.claimRank = j.Spec.Size(), f.rankOf(j)
+	return true
+}
+
+// preemptArray makes room for an array's planned tasks where they are planned.
+func (f *Fleet) preemptArray(now time.Duration, j *jobs.Job) {
+	if j.Level == 0 && !f.within[j.Index] {
+		return
+	}
+	for _, m := range f.machines {
+		if m.Condition != Acting || m.Retiring || len(m.Lanes[j.Index]) == 0 || f.fits(m, j) || f.freeIn(now, m, j) < patience ||
+			!f.allowed(m, j) || !f.Ledger.Fits(j.Team, j.Spec.Size(), 1) {
+			continue
+		}
+		if refs, _, ok := f.victims(now, m, j); ok {
+			f.stop(now, m, j, refs)
+			if m.claim == (planner.Size{}) {
+				m.claim, m.claimRank = j.Spec.Size(), f.rankOf(j)
+			}
+		}
+	}
+}
+
+func (f *Fleet) stop(now time.Duration, m *Machine, j *jobs.Job, refs []Ref) {
+	for _, r := range refs {
+		f.job(r.Job).Tasks[r.Task].Halting = true
+	}
+	if len(refs) > 0 {
+		slog.Info("preempting", "job", j.ID, "machine", m.Name, "tasks", len(refs), "term", f.Term)
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -75,14 +75,18 @@
 	}
 }
 
-// Within tells whether a demand fits into the team's guarantee. A resource of which
-// nothing is guaranteed must not be asked for, unless nothing is guaranteed of any but
-// another resource carries the guarantee.
-func (l *Ledger) Within(team int32, demand planner.Size) bool {
+// Within tells whether a team's demand, of which the last job's is one, fits into its
+// guarantee. A job that asks for nothing that is guaranteed has no guarantee to lie in; a
+// resource of which nothing is guaranteed does not count against one that does.
+func (l *Ledger) Within(team int32, job, demand planner.Size) bool {
 	t := l.teams[team]
-	if t == nil || (t.Guarantee.CPUs == 0 && t.Guarantee.GPUs == 0) {
+	if t == nil {
+		return false
+	}
+	g := t.Guarantee
+	if !(g.CPUs > 0 && job.CPUs > 0) && !(g.GPUs > 0 && job.GPUs > 0) {
 		return false
 	}
 	ok := func(need, have float64) bool { return have == 0 || need <= have+1e-6 }
-	return ok(demand.CPUs, t.Guarantee.CPUs) && ok(demand.GPUs, t.Guarantee.GPUs)
+	return ok(demand.CPUs, g.CPUs) && ok(demand.GPUs, g.GPUs)
 }
