Return machines idle for as long as getting them back would take

Cause: idle machines were returned only where an objective measures money, but the settings never name price or useful work. Now the limit is boot plus one image fetch (break-even); with no job at all 30 s. Renting looks ahead over half of the same time.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -276,8 +276,8 @@
 				c.toReturn[m.Name] = "silent"
 			case m.Condition == fleet.Acting && c.Fleet.Faulty(m):
 				c.Fleet.Retire(m, "faulty")
-			case m.Condition == fleet.Acting && c.Settings.MoneyCounts() && len(m.On) == 0 && m.Planned == 0 &&
-				now-m.IdleSince > config.Seconds(c.Settings.Operator.IdleS):
+			case m.Condition == fleet.Acting && len(m.On) == 0 && m.Planned == 0 &&
+				now-m.IdleSince > c.idleLimit(m):
 				c.Fleet.Retire(m, "idle")
 			}
 		case fleet.Lost:
@@ -291,6 +291,30 @@
 	}
 }
 
+// idleLimit is how long a machine is kept idle. By default that is the time for which the
+// same money would be spent on getting it back: its boot and the fetch of one image. Nobody
+// can know whether work comes first, and this bounds the regret to twice the best choice.
+func (c *Manager) idleLimit(m *fleet.Machine) time.Duration {
+	s := c.Settings.Operator.IdleS
+	t := c.typ(m.Type)
+	if s == 0 && t != nil {
+		s = t.BootS
+		if t.FetchGB > 0 {
+			s += c.Fleet.ImageGB() / t.FetchGB
+		}
+	}
+	if c.Settings.MoneyCounts() {
+		s /= 2
+	}
+	if c.Fleet.Quiet() {
+		s = min(s, quietIdle)
+	}
+	return config.Seconds(s)
+}
+
+// quietIdle is the limit while there is no job at all.
+const quietIdle = 30
+
 func (c *Manager) giveBack(now time.Duration) {
 	if c.returning || len(c.toReturn) == 0 {
 		return
@@ -328,6 +352,10 @@
 	return nil
 }
 
+// eager scales the horizon: below 1, machines are rented for work that those at hand would
+// get to in time.
+const eager = 0.5
+
 // bin is a machine, at hand or booting, with the work it can do within a horizon.
 type bin struct {
 	offer
@@ -345,15 +373,15 @@
 	if len(types) == 0 || !c.Fleet.Loaded() {
 		return
 	}
-	money := c.Settings.MoneyCounts()
-	boot := 0.0
+	horizon := 0.0
 	for _, t := range types {
-		boot = max(boot, t.BootS)
-	}
-	horizon := boot
-	if !money {
-		horizon = boot / 2
+		h := t.BootS
+		if t.FetchGB > 0 {
+			h += c.Fleet.ImageGB() / t.FetchGB
+		}
+		horizon = max(horizon, h)
 	}
+	horizon *= eager
 	var bins []*bin
 	total := len(c.boots)
 	for _, m := range c.Fleet.Machines() {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -109,7 +109,8 @@
 	HoldTTLMS int `hcl:"hold_ttl_ms,optional" validate:"gte=1000,lte=600000"`
 	// SilentS is how long a machine may be silent before it is given back.
 	SilentS float64 `hcl:"silent_s,optional" validate:"gte=0"`
-	// IdleS is how long a machine may be idle before it is returned, where money counts.
+	// IdleS is how long a machine may be idle before it is returned; 0 means as long as
+	// it would take to get it back.
 	IdleS float64 `hcl:"idle_s,optional" validate:"gte=0"`
 	// MaxMachines bounds how many machines are rented in all.
 	MaxMachines int `hcl:"max_machines,optional" validate:"gte=1"`
@@ -208,9 +209,6 @@
 	if o.SilentS == 0 {
 		o.SilentS = min(w.LeaseS, 3*w.ReportS+4)
 	}
-	if o.IdleS == 0 {
-		o.IdleS = 45
-	}
 	if o.MaxMachines == 0 {
 		o.MaxMachines = 500
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -65,6 +65,7 @@
 	steady  time.Duration // since when authority was not interrupted
 	had     bool
 
+	summary  time.Duration
 	links    []*peers.Link
 	status   map[string]heard
 	statusAt time.Duration
@@ -129,7 +130,8 @@
 		fail <- intake.Serve(public, intake.Routes{Post: c.loop.Offer, Now: c.loop.Now, Intake: c.in, Up: c.up,
 			Report: c.report, MaxConns: c.s.Params.Limits.Sockets * 7 / 10})
 	}()
-	slog.Info("serving", "node", c.s.Node, "public", c.s.Public, "hold_ms", c.s.Operator.HoldTTLMS)
+	slog.Info("serving", "node", c.s.Node, "public", c.s.Public, "hold_ms", c.s.Operator.HoldTTLMS,
+		"money_counts", c.s.MoneyCounts(), "objectives", len(c.s.Params.Objectives))
 	go c.loop.Run(50*time.Millisecond, c.tick)
 	return <-fail
 }
@@ -340,6 +342,10 @@
 		c.load(now)
 		return
 	}
+	if now >= c.summary {
+		c.summary = now + 30*time.Second
+		c.fleet.Summary(now)
+	}
 	auth := c.mem.Authority(now)
 	if auth && !c.had {
 		c.steady = now
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/harewalk/harewalk/internal/jobs"
@@ -66,3 +67,53 @@
 	}
 	return j.DoneN, running
 }
+
+// Summary logs how full the fleet is, for operators who follow an incident.
+func (f *Fleet) Summary(now time.Duration) {
+	var acting, idle, spot, other, waiting int
+	var size, use planner.Size
+	for _, m := range f.machines {
+		switch m.Condition {
+		case Gone, Lost:
+			continue
+		case Acting:
+			acting++
+		default:
+			other++
+		}
+		if m.Spot {
+			spot++
+		}
+		if len(m.On) == 0 {
+			idle++
+		}
+		size, use = size.Add(m.Size), use.Add(m.Use)
+	}
+	for _, j := range f.order {
+		for t := range j.Tasks {
+			if s := j.Tasks[t].State; s == jobs.Unplanned || s == jobs.Planned {
+				waiting++
+			}
+		}
+	}
+	slog.Info("fleet", "term", f.Term, "acting", acting, "other", other, "spot", spot, "idle", idle, "cpus", int(size.CPUs),
+		"cpus_used", int(use.CPUs), "gpus", int(size.GPUs), "gpus_used", int(use.GPUs), "jobs", len(f.order), "waiting", waiting)
+}
+
+// ImageGB is the mean size of the images that live jobs need.
+func (f *Fleet) ImageGB() float64 {
+	sum, n := 0.0, 0
+	for _, j := range f.order {
+		if j.Spec != nil {
+			sum += j.Spec.ImageGB
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
+
+// Quiet tells that there is no job at all.
+func (f *Fleet) Quiet() bool { return f.loaded && len(f.order) == 0 }
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -73,8 +73,12 @@
 func (f *Fleet) launch(now time.Duration, m *Machine, j *jobs.Job, t int32, attempt uint64) Command {
 	k := &j.Tasks[t]
 	k.Since, k.RunSince, k.Attempt = now, 0, attempt
-	f.place(now, j, t, jobs.Launched)
+	if !j.Started {
+		slog.Info("job starts", "job", j.ID, "class", j.Spec.Class, "machine", m.Name, "waited_s", int((now - j.At).Seconds()),
+			"fetch_s", int(f.fetchS(j, m)), "term", f.Term)
+	}
 	j.Started = true
+	f.place(now, j, t, jobs.Launched)
 	return Command{Op: opStart, Task: taskName(j, t), Attempt: attempt}
 }
 
@@ -211,7 +215,7 @@
 	hosts := 0
 	fetch := 0.0
 	zone := f.oneZone(j)
-	for _, m := range f.machines {
+	for _, m := range f.packed() {
 		if m.Condition != Acting || m.Retiring || !f.allowed(m, j) || (zone != jobs.None && m.Zone != zone) {
 			continue
 		}
@@ -260,6 +264,20 @@
 		"makespan_s", int(a.Makespan), "term", f.Term)
 }
 
+// packed orders the machines for planning: between equally loaded lanes the planner takes
+// the first, so spot machines, which fewer jobs can use, and machines in use come first and
+// others stay free to be returned.
+func (f *Fleet) packed() []*Machine {
+	ms := append([]*Machine(nil), f.machines...)
+	sort.SliceStable(ms, func(a, b int) bool {
+		if ms[a].Spot != ms[b].Spot {
+			return ms[a].Spot
+		}
+		return len(ms[a].On) > len(ms[b].On)
+	})
+	return ms
+}
+
 // oneZone chooses the zone of a job that must stay in one: where its tasks are, else
 // where most lanes are free.
 func (f *Fleet) oneZone(j *jobs.Job) int32 {
