--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -389,80 +389,6 @@
 	return best, true
 }
 
-// rankKey is a job's place among its equals: its latest useful start, and whether an aim
-// can still be met.
-type rankKey struct {
-	due time.Duration
-	ok  bool
-}
-
-// forgo gives up aims that can't all be met. The fleet is taken as one pool: going through
-// the jobs by when they should be done, whenever the work so far exceeds what the pool does
-// until then, the job with the most work is given up. That keeps the most jobs on time
-// (Moore and Hodgson), where the plain order by deadline would miss them all in an overload.
-func (f *Fleet) forgo(now time.Duration, keys map[jobs.Index]rankKey) {
-	var pool planner.Size
-	for _, m := range f.machines {
-		if m.Condition == Acting {
-			pool = pool.Add(m.Size)
-		}
-	}
-	type load struct {
-		j    *jobs.Job
-		end  time.Duration
-		work planner.Size // seconds of the whole pool, by resource
-	}
-	share := func(need, have float64) float64 {
-		if have <= 0 {
-			return 0
-		}
-		return need / have
-	}
-	var ls []load
-	for _, j := range f.order {
-		k := keys[j.Index]
-		if !k.ok {
-			continue
-		}
-		est := f.estimate(j)
-		sec := 0.0
-		for t := range j.Tasks {
-			switch {
-			case j.Tasks[t].State == jobs.Finished:
-			case j.Tasks[t].State == jobs.OnMachine:
-				sec += f.left(now, j, int32(t))
-			default:
-				sec += est
-			}
-		}
-		s := j.Spec.Size()
-		ls = append(ls, load{j, k.due + config.Seconds(est),
-			planner.Size{CPUs: share(s.CPUs*sec, pool.CPUs), GPUs: share(s.GPUs*sec, pool.GPUs), Mem: share(s.Mem*sec, pool.Mem)}})
-	}
-	sort.SliceStable(ls, func(a, b int) bool { return ls[a].end < ls[b].end })
-	var sum planner.Size
-	most := func(s planner.Size) float64 { return max(s.CPUs, s.GPUs, s.Mem) }
-	for i := range ls {
-		sum = sum.Add(ls[i].work)
-		for most(sum) > (ls[i].end - now).Seconds() {
-			worst := -1
-			for k := 0; k <= i; k++ {
-				// A guarantee is owed, and so is a higher priority: they stay.
-				if keys[ls[k].j.Index].ok && !f.within[ls[k].j.Index] && (worst < 0 || most(ls[k].work) > most(ls[worst].work)) {
-					worst = k
-				}
-			}
-			if worst < 0 {
-				break
-			}
-			sum = sum.Sub(ls[worst].work)
-			k := keys[ls[worst].j.Index]
-			k.ok = false
-			keys[ls[worst].j.Index] = k
-		}
-	}
-}
-
 // Rank orders the live jobs: priority first, then what lies within its team's guarantee,
 // then the latest start that still meets an aim; jobs past all aims come last, oldest
 // first.
@@ -482,7 +408,11 @@
 	})
 	demand := map[int32]planner.Size{}
 	clear(f.within)
-	keys := make(map[jobs.Index]rankKey, len(f.order))
+	type key struct {
+		due time.Duration
+		ok  bool
+	}
+	keys := make(map[jobs.Index]key, len(f.order))
 	for _, j := range f.order {
 		s := j.Spec.Size()
 		n := float64(j.N - j.DoneN)
@@ -490,9 +420,8 @@
 		demand[j.Team] = sum
 		f.within[j.Index] = f.Ledger.Within(j.Team, s, sum)
 		d, ok := f.due(now, j)
-		keys[j.Index] = rankKey{d, ok}
+		keys[j.Index] = key{d, ok}
 	}
-	f.forgo(now, keys)
 	sort.SliceStable(f.order, func(a, b int) bool {
 		x, y := f.order[a], f.order[b]
 		if x.Level != y.Level {
