--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -354,7 +354,7 @@
 
 // eager scales the horizon: below 1, machines are rented for work that those at hand would
 // get to in time.
-const eager = 0.5
+const eager = 0.25
 
 // bin is a machine, at hand or booting, with the work it can do within a horizon.
 type bin struct {
