Drive the fleet against a slow plain model of workers, network and state service

Seeded sequences of reports, losses, late messages, crashes, takeovers, hangs, deaths, notices and cancellations; the model checks ran_twice, quota, wrong_place, ran_cancelled, not_done, went_back and forgetting too early.

--- /dev/null
+++ b/internal/fleet/model_test.go
@@ -0,0 +1,726 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/planner"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+// The slow plain model: a world of workers, a state service and a network that loses,
+// delays and repeats, in which one Fleet after another leads. The world knows the truth
+// and checks the protocol's rules on every start, and the Fleet is the real code.
+
+type kvItem struct {
+	raw     json.RawMessage
+	version uint64
+}
+
+type onWorker struct {
+	job      string
+	task     int32
+	attempt  uint64
+	state    string
+	why      string
+	ready    time.Duration // has its image
+	started  time.Duration
+	run      time.Duration
+	stopAt   time.Duration
+	counted  bool // on the machine in the rules' sense
+	waitFrom time.Duration
+}
+
+type worker struct {
+	name, typ, zone string
+	spot            bool
+	size            planner.Size
+	alive, hung     bool
+	session, seq    uint64
+	token           uint64
+	base            time.Duration // lease counts from here
+	tasks           []*onWorker
+	inFlight        bool
+	sent            time.Duration
+	next            time.Duration
+	notice          time.Duration
+}
+
+type delayed struct {
+	at time.Duration
+	f  func()
+}
+
+type world struct {
+	t        *testing.T
+	seed     uint64
+	rng      *rand.Rand
+	now      time.Duration
+	settings *config.Settings
+	kv       map[string]kvItem
+	rev      uint64
+	workers  []*worker
+	net      []delayed
+	specs    map[string]*jobs.Spec
+	done     map[string]map[int32]bool
+	told     map[string]time.Duration // cancelled
+	fleet    *Fleet
+	book     *jobs.Book
+	leader   uint64 // version of the leader key
+	term     uint64
+	crashed  time.Duration
+	nextJob  int
+	starts   int
+	broken   []string
+	trouble  float64
+}
+
+func (w *world) fail(format string, a ...any) {
+	w.broken = append(w.broken, fmt.Sprintf("%v: ", w.now)+fmt.Sprintf(format, a...))
+}
+
+func (w *world) later(d time.Duration, f func()) { w.net = append(w.net, delayed{w.now + d, f}) }
+
+// delay is how long a message takes; late ones outlive whatever waits for them.
+func (w *world) delay() time.Duration {
+	if w.rng.Float64() < w.trouble {
+		return time.Duration(w.rng.Int64N(int64(25 * time.Second)))
+	}
+	return time.Duration(w.rng.Int64N(int64(60 * time.Millisecond)))
+}
+
+// apply is the state service.
+func (w *world) apply(t store.Txn) store.Result {
+	var failed []string
+	for _, c := range t.If {
+		if w.kv[c.Key].version != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		return store.Result{Outcome: store.Conflict, Failed: failed}
+	}
+	w.rev++
+	for _, o := range t.Then {
+		if o.Delete != "" {
+			delete(w.kv, o.Delete)
+			continue
+		}
+		w.checkRecord(o.Put, o.Value)
+		w.kv[o.Put] = kvItem{o.Value, w.rev}
+	}
+	rev := w.rev
+	for _, o := range t.Then {
+		if len(o.Put) > 4 && o.Put[:4] == jobs.Prefix {
+			key, raw := o.Put, o.Value
+			w.later(w.followDelay(), func() { w.learned(key, raw, rev) })
+		}
+	}
+	return store.Result{Outcome: store.Committed, Revision: rev}
+}
+
+func (w *world) followDelay() time.Duration {
+	return time.Duration(w.rng.Int64N(int64(400 * time.Millisecond)))
+}
+
+// checkRecord watches what users may be told: not_done and went_back.
+func (w *world) checkRecord(key string, raw json.RawMessage) {
+	if len(key) < 4 || key[:4] != jobs.Prefix {
+		return
+	}
+	id := key[4:]
+	var was, is jobs.Record
+	_ = json.Unmarshal(raw, &is)
+	if old, ok := w.kv[key]; ok {
+		_ = json.Unmarshal(old.raw, &was)
+		if was.Stance != "pending" {
+			w.fail("went_back: %s was %s and becomes %s", id, was.Stance, is.Stance)
+		}
+	}
+	if is.Stance == "done" {
+		if n := len(w.done[id]); n != w.specs[id].Tasks {
+			w.fail("not_done: %s is called done with %d of %d tasks", id, n, w.specs[id].Tasks)
+		}
+	}
+}
+
+func (w *world) learned(key string, raw json.RawMessage, version uint64) {
+	if w.book == nil {
+		return
+	}
+	j, changed, err := w.book.Apply(key[4:], raw, version)
+	if err != nil {
+		w.fail("record: %v", err)
+	}
+	if changed && w.fleet != nil {
+		w.fleet.Changed(w.now, j)
+	}
+}
+
+// lead starts a new term with nothing but what the state service holds.
+func (w *world) lead() {
+	w.term++
+	w.rev++
+	w.kv["leader"] = kvItem{json.RawMessage(`{}`), w.rev}
+	w.leader = w.rev
+	w.book = jobs.NewBook(0)
+	keys := make([]string, 0, len(w.kv))
+	for k := range w.kv {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	var plans []store.Item
+	for _, k := range keys {
+		it := w.kv[k]
+		switch {
+		case len(k) > 4 && k[:4] == jobs.Prefix:
+			w.learned(k, it.raw, it.version)
+		case len(k) > 2 && k[:2] == jobs.PlanPrefix:
+			plans = append(plans, store.Item{Key: k, Value: it.raw, Version: it.version})
+		}
+	}
+	term, guard := w.term, store.Cond{Key: "leader", Version: w.leader}
+	var f *Fleet
+	f = New(Env{
+		Settings: w.settings, Book: w.book, Rng: w.rng, TxnOps: 5, Now: func() time.Duration { return w.now },
+		Types: func(ix int32) *Type {
+			switch w.book.Door.Types.Name(ix) {
+			case "gpu":
+				return &Type{Size: planner.Size{CPUs: 8, GPUs: 2, Mem: 32}, CacheGB: 8, FetchGB: 1}
+			case "cpu":
+				return &Type{Size: planner.Size{CPUs: 4, Mem: 16}, CacheGB: 8, FetchGB: 1}
+			}
+			return nil
+		},
+		Room: func(int) bool { return true },
+		Commit: func(t store.Txn, done func(store.Result)) {
+			t.If = append([]store.Cond{guard}, t.If...)
+			answer := func(r store.Result) {
+				if w.fleet == f {
+					done(r)
+				}
+			}
+			switch x := w.rng.Float64(); {
+			case x < w.trouble/2: // applied late or not at all, the answer is lost
+				if w.rng.IntN(2) == 0 {
+					w.later(w.delay(), func() { w.apply(t) })
+				}
+				w.later(time.Second, func() { answer(store.Result{Outcome: store.Unknown}) })
+			case x < w.trouble:
+				w.later(20*time.Millisecond, func() { answer(store.Result{Outcome: store.NotDone}) })
+			default:
+				w.later(time.Duration(w.rng.Int64N(int64(80*time.Millisecond))), func() { answer(w.apply(t)) })
+			}
+		},
+		Read: func(key string, done func(store.Item, error)) {
+			w.later(10*time.Millisecond, func() {
+				if w.fleet == f {
+					it := w.kv[key]
+					done(store.Item{Key: key, Value: it.raw, Version: it.version}, nil)
+				}
+			})
+		},
+		Order: func(m *Machine, o Orders, done func(*Report, bool)) {
+			var wk *worker
+			for _, c := range w.workers {
+				if c.name == m.Name {
+					wk = c
+				}
+			}
+			answered := false
+			finish := func(r *Report, ok bool) {
+				if !answered && w.fleet == f {
+					answered = true
+					done(r, ok)
+				}
+			}
+			w.later(2*time.Second, func() { finish(nil, false) })
+			if w.rng.Float64() < w.trouble/4 {
+				return
+			}
+			w.later(w.delay(), func() {
+				if wk == nil || !wk.alive {
+					return
+				}
+				if wk.hung {
+					// A machine that hangs takes what waits once it resumes.
+					w.later(3*time.Second, func() { w.orders(wk, o) })
+					return
+				}
+				r, ok := w.orders(wk, o)
+				if ok {
+					w.later(w.delay(), func() { finish(r, true) })
+				}
+			})
+		},
+		Learned: func(_ time.Duration, it store.Item) { w.learned(it.Key, it.Value, it.Version) },
+	}, term, w.now)
+	w.fleet = f
+	f.Load(w.now, plans)
+}
+
+// orders is a worker's direct entry.
+func (w *world) orders(wk *worker, o Orders) (*Report, bool) {
+	if !wk.alive {
+		return nil, false
+	}
+	w.expire(wk)
+	if o.Token >= wk.token && o.Session == wk.session {
+		wk.token = o.Token
+		w.execute(wk, o.Commands)
+	}
+	return w.report(wk), true
+}
+
+func (w *world) report(wk *worker) *Report {
+	wk.seq++
+	r := &Report{Machine: wk.name, Addr: "x", Type: wk.typ, Zone: wk.zone, Spot: wk.spot, Session: wk.session, Seq: wk.seq, Token: wk.token}
+	if wk.notice > 0 {
+		s := (wk.notice - w.now).Seconds()
+		r.NoticeS = &s
+	}
+	for _, k := range wk.tasks {
+		r.Tasks = append(r.Tasks, TaskReport{Task: fmt.Sprintf("%s/%d", k.job, k.task), Attempt: k.attempt, State: k.state, Why: k.why})
+	}
+	return r
+}
+
+func (w *world) execute(wk *worker, cs []Command) {
+	for _, c := range cs {
+		id, t, _ := splitTask(c.Task)
+		at := -1
+		other := false
+		for i, k := range wk.tasks {
+			if k.job == id && k.task == t {
+				if k.attempt == c.Attempt {
+					at = i
+				} else if k.state != exited {
+					other = true
+				}
+			}
+		}
+		switch c.Op {
+		case opStart:
+			if at >= 0 {
+				continue
+			}
+			k := &onWorker{job: id, task: t, attempt: c.Attempt, state: fetching, ready: w.now + time.Duration(w.rng.Int64N(int64(4*time.Second))),
+				run: time.Second + time.Duration(w.rng.Int64N(int64(12*time.Second)))}
+			free := wk.size
+			for _, o := range wk.tasks {
+				if o.state != exited {
+					free = free.Sub(w.specs[o.job].Size())
+				}
+			}
+			switch {
+			case w.specs[id] == nil:
+				k.state, k.why = exited, whyUnknown
+			case other:
+				k.state, k.why = exited, whyBusy
+			case !w.specs[id].Size().Fits(free):
+				k.state, k.why = exited, whyNoRoom
+			}
+			wk.tasks = append(wk.tasks, k)
+		case opStop:
+			if at >= 0 && wk.tasks[at].state != exited {
+				wk.tasks[at].state, wk.tasks[at].why, wk.tasks[at].counted = exited, whyStopped, false
+			}
+		case opForget:
+			if at >= 0 && wk.tasks[at].state == exited {
+				if wk.tasks[at].why == whyDone && !w.durable(id, t) {
+					w.fail("forgot %s before its end was durable", c.Task)
+				}
+				wk.tasks = append(wk.tasks[:at], wk.tasks[at+1:]...)
+			}
+		}
+	}
+}
+
+// durable tells whether the state service knows that a task is done.
+func (w *world) durable(id string, t int32) bool {
+	var r jobs.Record
+	_ = json.Unmarshal(w.kv[jobs.RecordKey(id)].raw, &r)
+	if r.Stance != "pending" {
+		return true
+	}
+	no := int(t) / jobs.ChunkTasks
+	it, ok := w.kv[fmt.Sprintf("%s%s/%03d", jobs.PlanPrefix, id, no)]
+	if !ok {
+		return false
+	}
+	_, done, err := jobs.DecodeChunk(it.raw, min(jobs.ChunkTasks, w.specs[id].Tasks-no*jobs.ChunkTasks), func(string) int32 { return 0 })
+	return err == nil && done[int(t)%jobs.ChunkTasks]
+}
+
+func (w *world) expire(wk *worker) {
+	if w.now-wk.base > w.settings.Lease() {
+		wk.tasks = nil
+		wk.session++
+		wk.base = w.now
+		wk.inFlight = false
+	}
+}
+
+// begin is the moment a task has its image: the rules look here.
+func (w *world) begin(wk *worker, k *onWorker) {
+	k.counted = true
+	w.starts++
+	s := w.specs[k.job]
+	use, zones := planner.Size{}, map[string]int{}
+	for _, o := range w.workers {
+		for _, x := range o.tasks {
+			if !x.counted {
+				continue
+			}
+			if x.job == k.job && x.task == k.task && o != wk {
+				w.fail("ran_twice: %s/%d on %s and %s", k.job, k.task, o.name, wk.name)
+			}
+			if w.specs[x.job].Team == s.Team {
+				use = use.Add(w.specs[x.job].Size())
+			}
+			if x.job == k.job && x != k {
+				zones[o.zone]++
+			}
+		}
+	}
+	if lim := w.settings.Params.Teams[0].CPUsMax; use.CPUs > lim+1e-9 {
+		w.fail("quota: team %s uses %v of %v CPUs", s.Team, use.CPUs, lim)
+	}
+	ok := !wk.spot || s.Spot
+	if s.Zone != nil && *s.Zone != wk.zone {
+		ok = false
+	}
+	if s.Types != nil && s.Types[0] != wk.typ {
+		ok = false
+	}
+	if s.OneZone && len(zones) > 0 && (len(zones) > 1 || zones[wk.zone] == 0) {
+		ok = false
+	}
+	if s.Spread && zones[wk.zone]+1 > (s.Tasks+1)/2 {
+		ok = false
+	}
+	if !ok {
+		w.fail("wrong_place: %s/%d on %s (%s, zone %s, spot %v), others in %v", k.job, k.task, wk.name, wk.typ, wk.zone, wk.spot, zones)
+	}
+}
+
+// step lets a worker's tasks go on.
+func (w *world) step(wk *worker) {
+	w.expire(wk)
+	for _, k := range wk.tasks {
+		if k.state == exited {
+			continue
+		}
+		if at, ok := w.told[k.job]; ok && w.now > at+config.Seconds(w.settings.Params.Workers.CancelS) && k.counted {
+			w.fail("ran_cancelled: %s/%d on %s", k.job, k.task, wk.name)
+			k.state, k.why, k.counted = exited, whyStopped, false
+			continue
+		}
+		switch k.state {
+		case fetching:
+			if w.now < k.ready {
+				continue
+			}
+			w.begin(wk, k)
+			switch {
+			case w.done[k.job][k.task]:
+				k.state, k.why, k.counted = exited, whyDone, false
+			case w.specs[k.job].Kind == jobs.Gang:
+				k.state, k.waitFrom = waiting, w.now
+			default:
+				k.state, k.started = running, w.now
+			}
+		case waiting:
+			if w.now-k.waitFrom > config.Seconds(w.settings.Params.Workers.GangWaitS) {
+				k.state, k.why, k.counted = exited, "alone", false
+			} else if w.together(k) == w.specs[k.job].Tasks {
+				k.state, k.started = running, w.now
+			}
+		case running:
+			gang := w.specs[k.job].Kind == jobs.Gang
+			switch {
+			case gang && w.together(k) < w.specs[k.job].Tasks:
+				k.state, k.why, k.counted = exited, "peers", false
+			case w.specs[k.job].Kind == jobs.Service:
+			case w.now-k.started > k.run:
+				if w.rng.Float64() < 0.03 && !gang {
+					k.state, k.why, k.counted = exited, whyError, false
+					continue
+				}
+				if gang {
+					w.finishGang(k)
+					continue
+				}
+				k.state, k.why, k.counted = exited, whyDone, false
+				w.done[k.job][k.task] = true
+			}
+		}
+	}
+}
+
+// together counts the tasks of an attempt that have their image.
+func (w *world) together(k *onWorker) int {
+	n := 0
+	for _, o := range w.workers {
+		for _, x := range o.tasks {
+			if o.alive && x.job == k.job && x.attempt == k.attempt && x.counted {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (w *world) finishGang(k *onWorker) {
+	for _, o := range w.workers {
+		for _, x := range o.tasks {
+			if x.job == k.job && x.attempt == k.attempt && x.state == running {
+				x.state, x.why, x.counted = exited, whyDone, false
+			}
+		}
+	}
+	for t := range w.specs[k.job].Tasks {
+		w.done[k.job][int32(t)] = true
+	}
+}
+
+// talk sends a worker's report when it is due and takes the answer.
+func (w *world) talk(wk *worker) {
+	if wk.inFlight && w.now-wk.sent > 4*time.Second {
+		wk.inFlight, wk.next = false, w.now+time.Second
+	}
+	if wk.inFlight || w.now < wk.next {
+		return
+	}
+	r := w.report(wk)
+	sent, session := w.now, wk.session
+	wk.inFlight, wk.sent, wk.next = true, w.now, w.now+time.Second+time.Duration(w.rng.Int64N(int64(time.Second)))
+	if w.rng.Float64() < w.trouble/4 {
+		return
+	}
+	w.later(w.delay(), func() {
+		if w.fleet == nil {
+			return
+		}
+		a, v := w.fleet.Report(w.now, r)
+		if v != Accept || w.rng.Float64() < w.trouble/4 {
+			return
+		}
+		w.later(w.delay(), func() {
+			w.expire(wk)
+			if !wk.alive || wk.hung || wk.session != session || wk.sent != sent || w.now-sent > 4*time.Second {
+				return // dropped: too late, or of an earlier session
+			}
+			wk.inFlight = false
+			if a.Token < wk.token {
+				return
+			}
+			if a.Token > wk.token {
+				wk.next = w.now + 500*time.Millisecond
+			}
+			wk.token, wk.base = a.Token, sent
+			w.execute(wk, a.Commands)
+		})
+	})
+}
+
+func (w *world) submit() {
+	w.nextJob++
+	id := fmt.Sprintf("req-%06d", w.nextJob)
+	kinds := []jobs.Kind{jobs.Array, jobs.Array, jobs.Gang, jobs.Service}
+	s := &jobs.Spec{ID: id, Class: "c", Team: fmt.Sprintf("t%d", w.rng.IntN(2)), Kind: kinds[w.rng.IntN(len(kinds))],
+		Priority: []string{"prod", "urgent", "standard", "best_effort"}[w.rng.IntN(4)], Tasks: 1 + w.rng.IntN(8),
+		CPUs: 1 + float64(w.rng.IntN(3)), Mem: 2, Image: fmt.Sprintf("i%d", w.rng.IntN(4)), ImageGB: 3, EstimateS: 6,
+		Spot: w.rng.IntN(2) == 0, OneZone: w.rng.IntN(3) == 0, SaveS: 1}
+	if s.Kind != jobs.Array {
+		s.Tasks = 1 + w.rng.IntN(3)
+	}
+	switch w.rng.IntN(5) {
+	case 0:
+		z := []string{"a", "b"}[w.rng.IntN(2)]
+		s.Zone = &z
+	case 1:
+		s.Types = []string{[]string{"gpu", "cpu"}[w.rng.IntN(2)]}
+	case 2:
+		s.GPUs = 1
+	case 3:
+		if !s.OneZone && s.Kind == jobs.Array {
+			s.Spread = true
+		}
+	}
+	if s.Kind != jobs.Array && (s.OneZone || s.GPUs > 0 || s.Zone != nil || s.Types != nil) {
+		s.Tasks, s.CPUs = min(s.Tasks, 2), 1 // nobody rents here: it must fit one machine
+	}
+	w.specs[id] = s
+	w.done[id] = map[int32]bool{}
+	w.apply(store.Txn{If: []store.Cond{{Key: jobs.RecordKey(id)}},
+		Then: []store.Op{{Put: jobs.RecordKey(id), Value: jobs.EncodeRecord(jobs.Pending, w.now.Milliseconds(), s.Tasks, s)}}})
+}
+
+// cancel is a user's abort, as any controller carries it out.
+func (w *world) cancel(id string) {
+	key := jobs.RecordKey(id)
+	it, ok := w.kv[key]
+	var r jobs.Record
+	if !ok || json.Unmarshal(it.raw, &r) != nil || r.Stance != "pending" {
+		return
+	}
+	w.apply(store.Txn{If: []store.Cond{{Key: key, Version: it.version}},
+		Then: []store.Op{{Put: key, Value: jobs.EncodeRecord(jobs.Cancelled, 0, r.N, nil)}}})
+	w.told[id] = w.now
+}
+
+func newWorld(t *testing.T, seed uint64, trouble float64) *world {
+	w := &world{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 99)), kv: map[string]kvItem{}, specs: map[string]*jobs.Spec{},
+		done: map[string]map[int32]bool{}, told: map[string]time.Duration{}, trouble: trouble}
+	w.settings = &config.Settings{}
+	w.settings.Params.Teams = []config.Team{{Name: "t0", CPUs: 4, CPUsMax: 14}, {Name: "t1", CPUs: 4, CPUsMax: 14}}
+	w.settings.Params.Workers = config.Workers{ReportS: 1.5, LeaseS: 10, GangWaitS: 8, GangPeerS: 2, CancelS: 30}
+	w.settings.Operator.NetworkFactor = 1
+	for i := range 7 {
+		wk := &worker{name: fmt.Sprintf("i-%03d", i), typ: "cpu", zone: []string{"a", "b"}[i%2], spot: i%3 == 2,
+			size: planner.Size{CPUs: 4, Mem: 16}, alive: true, session: 1}
+		if i < 3 {
+			wk.typ, wk.size = "gpu", planner.Size{CPUs: 8, GPUs: 2, Mem: 32}
+		}
+		w.workers = append(w.workers, wk)
+	}
+	w.lead()
+	return w
+}
+
+// run plays a day: until quiet, troubles happen; after it the world heals, services are
+// cancelled and everything has to come to an end.
+func (w *world) run(quiet, end time.Duration) {
+	const tick = 50 * time.Millisecond
+	healed := false
+	for ; w.now < end && len(w.broken) == 0; w.now += tick {
+		rough := w.now < quiet
+		if !rough && !healed {
+			healed = true
+			w.trouble = 0
+			for id, s := range w.specs {
+				if s.Kind == jobs.Service {
+					w.cancel(id)
+				}
+			}
+			for _, wk := range w.workers {
+				wk.hung, wk.notice = false, 0
+			}
+		}
+		if rough {
+			w.mischief()
+		}
+		sort.SliceStable(w.net, func(a, b int) bool { return w.net[a].at < w.net[b].at })
+		for len(w.net) > 0 && w.net[0].at <= w.now {
+			d := w.net[0]
+			w.net = w.net[1:]
+			d.f()
+			sort.SliceStable(w.net, func(a, b int) bool { return w.net[a].at < w.net[b].at })
+		}
+		if w.fleet == nil && w.now >= w.crashed {
+			w.lead()
+		}
+		for _, wk := range w.workers {
+			if wk.alive && wk.hung {
+				w.expire(wk) // a lease ends while its machine hangs, too
+			} else if wk.alive {
+				w.step(wk)
+				w.talk(wk)
+			}
+		}
+		if w.fleet != nil && w.now%(100*time.Millisecond) == 0 {
+			w.fleet.Tick(w.now, true)
+		}
+	}
+}
+
+func (w *world) chance(perSecond float64) bool { return w.rng.Float64() < perSecond/20 }
+
+func (w *world) mischief() {
+	if w.chance(0.25) {
+		w.submit()
+	}
+	if w.chance(0.06) && w.nextJob > 0 {
+		w.cancel(fmt.Sprintf("req-%06d", 1+w.rng.IntN(w.nextJob)))
+	}
+	if w.chance(0.04) && w.fleet != nil {
+		w.fleet, w.book = nil, nil
+		w.crashed = w.now + time.Duration(w.rng.Int64N(int64(6*time.Second)))
+	}
+	for _, wk := range w.workers {
+		switch {
+		case w.chance(0.006) && wk.alive && !wk.hung: // hangs, and resumes before or after its lease
+			wk.hung = true
+			o := wk
+			w.later(time.Duration(w.rng.Int64N(int64(15*time.Second))), func() { o.hung = false })
+		case w.chance(0.003) && wk.alive: // dies; a machine of a new name takes its place
+			wk.alive = false
+			wk.tasks = nil
+			n := *wk
+			n.name, n.alive, n.hung, n.session, n.seq, n.token, n.base = fmt.Sprintf("i-%d", len(w.workers)+100), true, false, 1, 0, 0, w.now
+			n.inFlight, n.notice = false, 0
+			w.workers = append(w.workers, &n)
+		case w.chance(0.004) && wk.alive && w.fleet != nil: // the cloud confirms a return
+			if m := w.fleet.Find(wk.name); m != nil {
+				wk.alive = false
+				wk.tasks = nil
+				w.fleet.Returned(w.now, m, "returned")
+				n := *wk
+				n.name, n.alive, n.hung, n.session, n.seq, n.token, n.base = fmt.Sprintf("i-%d", len(w.workers)+100), true, false, 1, 0, 0, w.now
+				n.inFlight, n.notice = false, 0
+				w.workers = append(w.workers, &n)
+			}
+		case w.chance(0.004) && wk.alive && wk.spot && wk.notice == 0:
+			wk.notice = w.now + 5*time.Second
+			o := wk
+			w.later(5*time.Second, func() { o.alive = false; o.tasks = nil })
+			n := *wk
+			n.name, n.session, n.seq, n.token, n.base = fmt.Sprintf("i-%d", len(w.workers)+100), 1, 0, 0, w.now
+			n.hung, n.inFlight, n.notice, n.tasks = false, false, 0, nil
+			w.workers = append(w.workers, &n)
+		}
+	}
+}
+
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	os.Exit(m.Run())
+}
+
+// The rules hold whatever is lost, late, repeated, crashed or taken away, and once the
+// world has healed every job comes to its end.
+func TestRulesAgainstThePlainModel(t *testing.T) {
+	starts, ended := 0, 0
+	for seed := uint64(1); seed <= 40; seed++ {
+		w := newWorld(t, seed, 0.12)
+		w.run(150*time.Second, 420*time.Second)
+		if len(w.broken) > 0 {
+			t.Fatalf("seed %d: %s", seed, w.broken[0])
+		}
+		starts += w.starts
+		for id := range w.specs {
+			var r jobs.Record
+			_ = json.Unmarshal(w.kv[jobs.RecordKey(id)].raw, &r)
+			if r.Stance == "pending" {
+				j := w.book.Get(id)
+				for i := range j.Tasks {
+					t.Logf("task %d %s on %d fails %d late %v", i, j.Tasks[i].State, j.Tasks[i].Machine, j.Tasks[i].Fails, j.Tasks[i].Late)
+				}
+				t.Fatalf("seed %d: %s (%+v) never ends", seed, id, *w.specs[id])
+			}
+			ended++
+		}
+	}
+	if starts < 2000 || ended < 1000 {
+		t.Fatalf("only %d starts and %d jobs: the model does not exercise the code", starts, ended)
+	}
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -714,12 +714,11 @@
 	f.Order(m, Orders{Token: f.Term, Session: session, Commands: calls}, func(r *Report, ok bool) {
 		m.ordering = false
 		for _, a := range sent {
-			k := &f.job(a.Job).Tasks[a.Task]
-			if ok {
-				if k.Attempt == a.n {
-					k.Late = false
-				}
-			} else if m.Session == session {
+			// The job may have ended and been swept while the request was under way.
+			if j := f.job(a.Job); ok && j.Tasks != nil && j.Tasks[a.Task].Attempt == a.n {
+				j.Tasks[a.Task].Late = false
+			}
+			if !ok && m.Session == session {
 				m.late[a] = struct{}{}
 			}
 		}
