--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -106,7 +106,7 @@
 	}
 	m := &Machine{Index: int32(len(f.machines)), Name: name, Type: jobs.None, Zone: jobs.None, Created: now,
 		Answered: now, Heard: now, IdleSince: now, On: map[Ref]struct{}{}, Lanes: map[jobs.Index][]int32{},
-		late: map[attempt]struct{}{}, slow: 1}
+		late: map[attempt]struct{}{}, slow: 1, Token: f.Term << tokenBits}
 	f.machines = append(f.machines, m)
 	f.byName[m.Name] = m
 	return m
@@ -189,7 +189,12 @@
 			}
 		}
 	}
-	f.Book.Live(func(j *jobs.Job) { j.Open() })
+	f.Book.Live(func(j *jobs.Job) {
+		j.Open()
+		if j.Spec.Kind == jobs.Gang && j.DoneN > 0 {
+			f.gangDone(now, j)
+		}
+	})
 	f.loaded = true
 	f.Rank(now)
 	slog.Info("plans loaded", "term", f.Term, "keys", len(items), "jobs", len(f.order), "machines", len(f.machines))
@@ -236,6 +241,9 @@
 // release ends a task's being on its machine; it then is to.
 func (f *Fleet) release(now time.Duration, j *jobs.Job, t int32, to jobs.State) {
 	k := &j.Tasks[t]
+	if j.GangDone || k.Done {
+		to = jobs.Finished
+	}
 	if !k.State.Occupies() {
 		f.must(j.Set(t, to))
 		return
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -55,6 +55,9 @@
 	Spot      bool
 	Condition Condition
 
+	// Token is our term in the high bits and, below, how often we fenced the machine in
+	// this term against launches of our own that may arrive late.
+	Token        uint64
 	Session, Seq uint64
 	Created      time.Duration // first heard of
 	Heard        time.Duration // last accepted report
@@ -77,6 +80,7 @@
 	// direct launch was never answered and may still arrive in this session.
 	ordering bool
 	late     map[attempt]struct{}
+	fencing  bool // the token was raised and no report has carried it yet
 	pushed   time.Duration
 
 	// claim is what a waiting gang of rank claimRank is to get here.
@@ -88,6 +92,19 @@
 	slow     float64 // run time against what was expected, smoothed; 1 is normal
 }
 
+// tokenBits is the room for fences within a term.
+const tokenBits = 20
+
+// fence raises the machine's token if direct launches are open: once a report carries the
+// new token they can no longer be executed. Without it a launch lost for good would count
+// against its team until the worker's session ends.
+func (m *Machine) fence() {
+	if len(m.late) > 0 && !m.ordering && !m.fencing {
+		m.Token++
+		m.fencing = true
+	}
+}
+
 // Free is what is left of it.
 func (m *Machine) Free() planner.Size { return m.Size.Sub(m.Use) }
 
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -392,7 +392,7 @@
 		}
 	}
 	if lim := w.settings.Params.Teams[0].CPUsMax; use.CPUs > lim+1e-9 {
-		w.fail("quota: team %s uses %v of %v CPUs", s.Team, use.CPUs, lim)
+		w.fail("quota: team %s uses %v of %v CPUs with %s/%d on %s", s.Team, use.CPUs, lim, k.job, k.task, wk.name)
 	}
 	ok := !wk.spot || s.Spot
 	if s.Zone != nil && *s.Zone != wk.zone {
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -677,7 +677,7 @@
 // reports. A machine has at most one such request under way.
 func (f *Fleet) push(now time.Duration) {
 	for _, m := range f.machines {
-		if m.Condition != Acting || m.ordering || m.Addr == "" || now-m.Heard > config.Seconds(f.Settings.Params.Workers.ReportS*1.6) ||
+		if m.Condition != Acting || m.ordering || m.fencing || m.Addr == "" || now-m.Heard > config.Seconds(f.Settings.Params.Workers.ReportS*1.6) ||
 			now-m.pushed < 200*time.Millisecond {
 			continue
 		}
@@ -711,7 +711,7 @@
 		sent = append(sent, attempt{Ref{j.Index, t}, c.Attempt})
 		j.Tasks[t].Late = true
 	}
-	f.Order(m, Orders{Token: f.Term, Session: session, Commands: calls}, func(r *Report, ok bool) {
+	f.Order(m, Orders{Token: m.Token, Session: session, Commands: calls}, func(r *Report, ok bool) {
 		m.ordering = false
 		for _, a := range sent {
 			// The job may have ended and been swept while the request was under way.
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -29,7 +29,12 @@
 		return Answer{}, v
 	}
 	m.Answered = now
-	a := Answer{Token: f.Term, Commands: []Command{}}
+	a := Answer{Token: m.Token, Commands: []Command{}}
+	if r.Token < m.Token || !f.loaded {
+		return a, Accept // the token has to be seen first
+	}
+	m.fence()
+	a.Token = m.Token
 	if m.Condition == Acting || m.Condition == Noticed {
 		a.Commands = f.commands(now, m, r)
 	}
@@ -39,7 +44,7 @@
 // take brings the machine's state up to a report. A direct one is the body of a response
 // to a command of ours; it may have been made while an answer of ours was under way.
 func (f *Fleet) take(now time.Duration, r *Report, direct bool) (*Machine, Verdict) {
-	if r.Token > f.Term {
+	if r.Token>>tokenBits > f.Term {
 		return nil, Deposed
 	}
 	m := f.Machine(now, r.Machine)
@@ -52,19 +57,20 @@
 	}
 	if r.Session != m.Session {
 		// Direct commands name their session: those of the old one are refused now.
-		clear(m.late)
-		for ref := range m.On {
-			f.job(ref.Job).Tasks[ref.Task].Late = false
-		}
+		f.settleLate(m)
 	}
 	f.Describe(m, r.Addr, r.Type, r.Zone, r.Spot)
 	m.Session, m.Seq, m.Heard = r.Session, r.Seq, now
 	f.LastReport = now
-	if r.Token < f.Term || !f.loaded {
+	if r.Token < m.Token || !f.loaded {
 		// Not fenced yet: a former owner's command may still arrive. Our token goes
 		// out with the answer, and the next report will carry it.
 		return m, Accept
 	}
+	if m.fencing {
+		m.fencing = false
+		f.settleLate(m)
+	}
 	switch {
 	case r.NoticeS != nil && !m.Retiring:
 		if m.Condition != Noticed {
@@ -82,6 +88,14 @@
 	return m, Accept
 }
 
+// settleLate notes that no direct launch sent so far can be executed any more.
+func (f *Fleet) settleLate(m *Machine) {
+	clear(m.late)
+	for ref := range m.On {
+		f.job(ref.Job).Tasks[ref.Task].Late = false
+	}
+}
+
 // tasks compares the list of a fenced report with what is known.
 func (f *Fleet) tasks(now time.Duration, m *Machine, r *Report, direct bool) {
 	listed := make(map[Ref]bool, len(r.Tasks))
@@ -206,12 +220,15 @@
 			}
 			return
 		}
+		if k.State.Occupies() && (k.Machine != m.Index || again || (k.Late && k.Attempt != e.Attempt)) {
+			// It is done, but another attempt may be on a machine: that counts until it
+			// is seen to be gone.
+			k.Done, k.Halting = true, true
+			return
+		}
 		f.finish(now, m, j, t, true)
 		if j.Spec.Kind == jobs.Gang {
-			// When one task of a gang is done, every one is.
-			for o := range j.Tasks {
-				f.finish(now, m, j, int32(o), false)
-			}
+			f.gangDone(now, j)
 		}
 		return
 	}
@@ -239,6 +256,18 @@
 	}
 }
 
+// gangDone follows from one task of a gang being done: every one is. Those that may still
+// be on a machine count there until they are seen to be gone, since a task that is started
+// again after its gang was done is on its machine for a moment before it exits.
+func (f *Fleet) gangDone(now time.Duration, j *jobs.Job) {
+	j.GangDone = true
+	for t := range j.Tasks {
+		if !j.Tasks[t].State.Occupies() {
+			f.finish(now, nil, j, int32(t), false)
+		}
+	}
+}
+
 // finish records a task's completion.
 func (f *Fleet) finish(now time.Duration, m *Machine, j *jobs.Job, t int32, seen bool) {
 	k := &j.Tasks[t]
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -36,6 +36,9 @@
 	// ZoneUse counts, by dense zone, the tasks that may be on a machine there.
 	ZoneUse map[int32]int
 
+	// GangDone tells that a task of the gang is done, and so all are.
+	GangDone bool
+
 	Closing bool // the terminal record is being written
 	Started bool // some task was launched at least once
 }
@@ -185,7 +188,7 @@
 // Recall drops what only the job's planner needs: after losing the lead.
 func (b *Book) Recall() {
 	for _, j := range b.jobs {
-		j.Tasks, j.Chunks, j.Closing, j.Started, j.Attempt = nil, nil, false, false, 0
+		j.Tasks, j.Chunks, j.Closing, j.Started, j.GangDone, j.Attempt = nil, nil, false, false, false, 0
 		clear(j.ZoneUse)
 	}
 }
--- a/internal/jobs/task.go
+++ b/internal/jobs/task.go
@@ -57,6 +57,7 @@
 	Phase    Phase
 	Halting  bool // a halt was sent or is due
 	Late     bool // an unanswered direct launch may still arrive
+	Done     bool // known to be done, while an attempt may still be on a machine
 	Fails    uint8
 	Machine  int32
 	Attempt  uint64
