--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -574,7 +574,7 @@
 		return
 	}
 	w.apply(store.Txn{If: []store.Cond{{Key: key, Version: it.version}},
-		Then: []store.Op{{Put: key, Value: jobs.EncodeRecord(jobs.Cancelled, 0, r.N, nil)}}})
+		Then: []store.Op{{Put: key, Value: jobs.EncodeRecord(jobs.Cancelled, r.AtMS, r.N, r.Spec)}}})
 	w.told[id] = w.now
 }
 
@@ -700,7 +700,7 @@
 // world has healed every job comes to its end.
 func TestRulesAgainstThePlainModel(t *testing.T) {
 	starts, ended := 0, 0
-	for seed := uint64(1); seed <= 40; seed++ {
+	for seed := uint64(1); seed <= 60; seed++ {
 		w := newWorld(t, seed, 0.12)
 		w.run(150*time.Second, 420*time.Second)
 		if len(w.broken) > 0 {
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -58,6 +58,9 @@
 	if r.Session != m.Session {
 		// Direct commands name their session: those of the old one are refused now.
 		f.settleLate(m)
+		// The lease of a session counts from its beginning, even if no report of it was
+		// ever answered: a direct launch may run that long.
+		m.Answered = now
 	}
 	f.Describe(m, r.Addr, r.Type, r.Zone, r.Spot)
 	m.Session, m.Seq, m.Heard = r.Session, r.Seq, now
@@ -440,7 +443,9 @@
 			return 0, false
 		}
 		for o := range j.Tasks {
-			j.Tasks[o].Halting = true
+			if j.Tasks[o].State.Occupies() {
+				j.Tasks[o].Halting = true
+			}
 		}
 		return j.Spec.SaveS + 1, true
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -383,7 +383,7 @@
 		return
 	}
 	key := jobs.RecordKey(id)
-	raw := jobs.EncodeRecord(jobs.Cancelled, 0, j.N, nil)
+	raw := jobs.EncodeRecord(jobs.Cancelled, n.Book.WallMS(j.At), j.N, j.Spec)
 	n.Store.Txn(store.Txn{If: []store.Cond{{Key: key, Version: j.Version}}, Then: []store.Op{{Put: key, Value: raw}}},
 		store.Ordinary, func(r store.Result) {
 			switch r.Outcome {
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -166,7 +166,9 @@
 // Terminal tells whether the stance can change no more.
 func (s Stance) Terminal() bool { return s != Pending }
 
-// Record is a job as it stands in the state service. A terminal one sheds its spec.
+// Record is a job as it stands in the state service. A done one sheds its spec; a
+// cancelled one keeps it, since its tasks may still be on machines when another controller
+// takes over, and count against their team until they are gone.
 type Record struct {
 	Stance string `json:"stance"`
 	AtMS   int64  `json:"at_ms,omitempty"`
@@ -183,7 +185,7 @@
 // EncodeRecord writes a record.
 func EncodeRecord(st Stance, at int64, n int, spec *Spec) json.RawMessage {
 	r := Record{Stance: st.String(), N: n}
-	if !st.Terminal() {
+	if st != Done {
 		r.AtMS, r.Spec = at, spec
 	}
 	b, _ := json.Marshal(r)
--- a/internal/jobs/task.go
+++ b/internal/jobs/task.go
@@ -87,6 +87,9 @@
 		if to == Finished {
 			j.DoneN++
 		}
+		if to == Planned {
+			k.Halting = false // a stop was meant for an earlier start
+		}
 		if to == Unplanned || to == Finished {
 			k.Phase, k.Halting, k.Late, k.Attempt = NoPhase, false, false, 0
 			if to == Unplanned {
