Test each guard by itself

Deterministic cases for what the random model meets too seldom: starts before a durable plan, open moves, unfenced reports, open direct launches, forgetting, session leases, cancelled demands after takeover.

--- /dev/null
+++ b/internal/fleet/guards_test.go
@@ -0,0 +1,329 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/planner"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+// rig is one fleet whose writes and direct commands the test answers by hand.
+type rig struct {
+	*Fleet
+	t      *testing.T
+	now    time.Duration
+	kv     map[string]json.RawMessage
+	rev    uint64
+	commit []func(store.Outcome)
+	orders []func(r *Report, ok bool)
+	sent   []Orders
+	seq    uint64
+}
+
+func newRig(t *testing.T, term uint64, kv map[string]json.RawMessage) *rig {
+	g := &rig{t: t, kv: kv, rev: 100 * term}
+	s := &config.Settings{}
+	s.Params.Teams = []config.Team{{Name: "t", CPUsMax: 4}}
+	s.Params.Workers = config.Workers{ReportS: 3, LeaseS: 20, GangWaitS: 20, GangPeerS: 5, CancelS: 40}
+	s.Operator.NetworkFactor = 1
+	book := jobs.NewBook(0)
+	var plans []store.Item
+	for k, v := range kv {
+		g.rev++
+		if k[:2] == jobs.PlanPrefix {
+			plans = append(plans, store.Item{Key: k, Value: v, Version: g.rev})
+		} else if _, _, err := book.Apply(k[len(jobs.Prefix):], v, g.rev); err != nil {
+			t.Fatal(err)
+		}
+	}
+	g.Fleet = New(Env{
+		Settings: s, Book: book, Rng: rand.New(rand.NewPCG(1, 1)), TxnOps: 20, Now: func() time.Duration { return g.now },
+		Types: func(int32) *Type { return &Type{Size: planner.Size{CPUs: 4, Mem: 16}, CacheGB: 10, FetchGB: 1} },
+		Room:  func(int) bool { return true },
+		Commit: func(t store.Txn, done func(store.Result)) {
+			g.commit = append(g.commit, func(o store.Outcome) {
+				g.rev++
+				if o == store.Committed {
+					for _, op := range t.Then {
+						if op.Delete != "" {
+							delete(kv, op.Delete)
+						} else {
+							kv[op.Put] = op.Value
+						}
+					}
+				}
+				done(store.Result{Outcome: o, Revision: g.rev})
+			})
+		},
+		Read: func(key string, done func(store.Item, error)) {
+			it := store.Item{Key: key, Value: kv[key]}
+			if it.Value != nil {
+				it.Version = g.rev
+			}
+			done(it, nil)
+		},
+		Order: func(_ *Machine, o Orders, done func(*Report, bool)) {
+			g.sent, g.orders = append(g.sent, o), append(g.orders, done)
+		},
+		Learned: func(now time.Duration, it store.Item) { g.learn(it.Key, it.Value) },
+	}, term, 0)
+	g.Load(0, plans)
+	return g
+}
+
+func (g *rig) learn(key string, raw json.RawMessage) {
+	g.rev++
+	g.kv[key] = raw
+	if j, changed, err := g.Book.Apply(key[len(jobs.Prefix):], raw, g.rev); err != nil {
+		g.t.Fatal(err)
+	} else if changed {
+		g.Changed(g.now, j)
+	}
+}
+
+func spec(n int, tasks int) *jobs.Spec {
+	return &jobs.Spec{ID: fmt.Sprintf("req-%06d", n), Class: "c", Team: "t", Kind: jobs.Array, Priority: "standard", Tasks: tasks,
+		CPUs: 1, Mem: 1, Image: "i", ImageGB: 1, EstimateS: 10}
+}
+
+func (g *rig) submit(s *jobs.Spec) *jobs.Job {
+	g.learn(jobs.RecordKey(s.ID), jobs.EncodeRecord(jobs.Pending, 0, s.Tasks, s))
+	return g.Book.Get(s.ID)
+}
+
+func (g *rig) cancel(j *jobs.Job) {
+	g.learn(jobs.RecordKey(j.ID), jobs.EncodeRecord(jobs.Cancelled, 0, j.N, j.Spec))
+}
+
+// hear delivers a report of machine m at a token, and returns the commands.
+func (g *rig) hear(m string, session, token uint64, tasks ...TaskReport) []Command {
+	g.seq++
+	a, v := g.Report(g.now, &Report{Machine: m, Addr: "x", Type: "ty", Zone: "z", Session: session, Seq: g.seq, Token: token, Tasks: tasks})
+	if v != Accept {
+		g.t.Fatalf("report refused: %d", v)
+	}
+	return a.Commands
+}
+
+// settle answers all open writes and ticks until nothing is written any more.
+func (g *rig) settle(o store.Outcome) {
+	for range 20 {
+		g.now += 100 * time.Millisecond
+		g.Tick(g.now, false)
+		for len(g.commit) > 0 {
+			c := g.commit[0]
+			g.commit = g.commit[1:]
+			c(o)
+		}
+	}
+}
+
+func starts(cs []Command) (out []Command) {
+	for _, c := range cs {
+		if c.Op == opStart {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+const fenced = uint64(1) << tokenBits
+
+// Write before act: a crash after a start that is not in the plan would start it twice.
+func TestNothingStartsBeforeItsPlanIsDurable(t *testing.T) {
+	g := newRig(t, 1, map[string]json.RawMessage{})
+	g.hear("m", 1, fenced)
+	j := g.submit(spec(1, 2))
+	g.Tick(g.now, true)
+	if j.Tasks[0].State != jobs.Planned || len(g.commit) != 1 {
+		t.Fatalf("state %v with %d writes, want a plan being written", j.Tasks[0].State, len(g.commit))
+	}
+	if cs := starts(g.hear("m", 1, fenced)); len(cs) != 0 || len(g.sent) != 0 {
+		t.Fatalf("started %v before the plan was durable", cs)
+	}
+	g.commit[0](store.NotDone)
+	g.commit = nil
+	if cs := starts(g.hear("m", 1, fenced)); len(cs) != 0 {
+		t.Fatalf("started %v although the write was refused", cs)
+	}
+	g.settle(store.Committed)
+	if cs := starts(g.hear("m", 1, fenced)); len(cs) != 2 {
+		t.Fatalf("started %v, want both tasks", cs)
+	}
+}
+
+// While a write that moves a task is open, either machine may be what a successor reads.
+func TestOpenMoveBlocksStartsOnBothMachines(t *testing.T) {
+	g := newRig(t, 1, map[string]json.RawMessage{})
+	g.hear("m", 1, fenced)
+	j := g.submit(spec(1, 1))
+	g.settle(store.Committed)
+	c := j.Chunks[0]
+	m := j.Tasks[0].Machine
+	c.Pending = []int32{m + 1}
+	if j.IsDurable(0) {
+		t.Fatal("durable although an open write names another machine")
+	}
+	c.Pending = []int32{m}
+	if !j.IsDurable(0) {
+		t.Fatal("an open write that repeats the machine must not block it")
+	}
+}
+
+// A new owner acts only on a report at its own token: until then commands of the former
+// owner may still arrive.
+func TestNewOwnerWaitsForAFencedReport(t *testing.T) {
+	kv := map[string]json.RawMessage{}
+	g := newRig(t, 1, kv)
+	g.hear("m", 1, fenced)
+	g.submit(spec(1, 1))
+	g.settle(store.Committed)
+
+	n := newRig(t, 2, kv)
+	j := n.Book.Get("req-000001")
+	if j.Tasks[0].State != jobs.Recovered || n.Ledger.Team(j.Team).Used.CPUs != 1 {
+		t.Fatalf("state %v using %v, want recovered and counted", j.Tasks[0].State, n.Ledger.Team(j.Team).Used)
+	}
+	if cs := n.hear("m", 1, fenced); len(cs) != 0 || j.Tasks[0].State != jobs.Recovered {
+		t.Fatalf("acted on a report at the former token: %v, %v", cs, j.Tasks[0].State)
+	}
+	if cs := starts(n.hear("m", 1, 2*fenced)); len(cs) != 1 {
+		t.Fatalf("started %v, want the task that is surely not there", cs)
+	}
+}
+
+// launched brings a task to the point where its direct launch was sent and not answered.
+func launched(t *testing.T) (*rig, *jobs.Job) {
+	g := newRig(t, 1, map[string]json.RawMessage{})
+	g.hear("m", 1, fenced)
+	j := g.submit(spec(1, 1))
+	g.settle(store.Committed)
+	g.hearNothing()
+	g.Tick(g.now, true)
+	if len(g.sent) != 1 || j.Tasks[0].State != jobs.Launched {
+		t.Fatalf("%d direct commands, state %v", len(g.sent), j.Tasks[0].State)
+	}
+	return g, j
+}
+
+// hearNothing keeps a machine from looking silent without touching its lanes.
+func (g *rig) hearNothing() {
+	for _, m := range g.machines {
+		m.Heard = g.now
+	}
+}
+
+// A direct launch whose outcome is open counts until a report carries a raised token, and
+// is not lost for the team afterwards.
+func TestOpenDirectLaunchCountsUntilFenced(t *testing.T) {
+	g, j := launched(t)
+	g.orders[0](nil, false)
+	g.cancel(j)
+	g.hear("m", 1, fenced) // this answer raises the token
+	if used := g.Ledger.Team(j.Team).Used.CPUs; used != 1 {
+		t.Fatalf("uses %v, but the launch may still arrive", used)
+	}
+	g.hear("m", 1, fenced)
+	if used := g.Ledger.Team(j.Team).Used.CPUs; used != 1 {
+		t.Fatalf("uses %v, but no report carries the raised token yet", used)
+	}
+	g.hear("m", 1, fenced+1)
+	if used := g.Ledger.Team(j.Team).Used.CPUs; used != 0 {
+		t.Fatalf("uses %v, but nothing can arrive any more", used)
+	}
+}
+
+// A worker that forgot an attempt would start it anew if its launch arrived again.
+func TestForgetWaitsForAnOpenLaunch(t *testing.T) {
+	g, j := launched(t)
+	at := j.Tasks[0].Attempt
+	stopped := TaskReport{Task: "req-000001/0", Attempt: at, State: exited, Why: whyError}
+	has := func(cs []Command) bool {
+		for _, c := range cs {
+			if c.Op == opForget {
+				return true
+			}
+		}
+		return false
+	}
+	if has(g.hear("m", 1, fenced, stopped)) {
+		t.Fatal("forgotten while its direct launch is under way")
+	}
+	g.orders[0](nil, false)
+	if has(g.hear("m", 1, fenced, stopped)) {
+		t.Fatal("forgotten while its direct launch may arrive")
+	}
+	if !has(g.hear("m", 1, fenced+1, stopped)) {
+		t.Fatal("never forgotten")
+	}
+}
+
+// The lease of a session counts from its beginning, not from the last answer to the
+// session before.
+func TestLeaseOfANewSession(t *testing.T) {
+	g := newRig(t, 1, map[string]json.RawMessage{})
+	g.hear("m", 1, fenced)
+	g.now = 18 * time.Second
+	g.seq++
+	g.take(g.now, &Report{Machine: "m", Addr: "x", Type: "ty", Zone: "z", Session: 2, Seq: g.seq, Token: fenced}, true)
+	g.now = 30 * time.Second
+	g.expire(g.now)
+	if c := g.machines[0].Condition; c == Lost {
+		t.Fatal("lost 12 s into a session whose lease is 20 s")
+	}
+	g.now = 40 * time.Second
+	g.expire(g.now)
+	if c := g.machines[0].Condition; c != Lost {
+		t.Fatalf("condition %v, the lease has run out", c)
+	}
+}
+
+// A cancelled job's tasks still run after a takeover and count against the team.
+func TestCancelledTasksCountAfterTakeover(t *testing.T) {
+	g, j := launched(t)
+	g.cancel(j)
+	n := newRig(t, 2, g.kv)
+	if used := n.Ledger.Team(n.Book.Door.Teams.Index("t")).Used.CPUs; used != 1 {
+		t.Fatalf("uses %v, want the cancelled task counted", used)
+	}
+	task := TaskReport{Task: "req-000001/0", Attempt: j.Tasks[0].Attempt, State: running}
+	cs := n.hear("m", 1, 2*fenced, task)
+	if len(cs) != 1 || cs[0].Op != opStop {
+		t.Fatalf("commands %v, want a stop", cs)
+	}
+}
+
+// The answer to a direct command may come after its job has ended and been swept. This
+// once ended the controller.
+func TestAnswerAfterTheJobWasSwept(t *testing.T) {
+	g, j := launched(t)
+	g.hear("m", 1, fenced, TaskReport{Task: "req-000001/0", Attempt: j.Tasks[0].Attempt, State: exited, Why: whyDone})
+	g.settle(store.Committed)
+	if j.Tasks != nil || j.Stance != jobs.Done {
+		t.Fatalf("job not swept: %v", j.Stance)
+	}
+	g.orders[0](nil, true)
+}
+
+// A job's terminal record carries the version it was read at, so that it can never go over
+// a cancellation that came first.
+func TestDoneNeverOverwritesACancellation(t *testing.T) {
+	g, j := launched(t)
+	g.hear("m", 1, fenced, TaskReport{Task: "req-000001/0", Attempt: j.Tasks[0].Attempt, State: exited, Why: whyDone})
+	var seen []store.Cond
+	g.Commit = func(tx store.Txn, done func(store.Result)) { seen = append(seen, tx.If...) }
+	g.Flush(g.now)
+	want := store.Cond{Key: jobs.RecordKey(j.ID), Version: j.Version}
+	for _, c := range seen {
+		if c == want {
+			return
+		}
+	}
+	t.Fatalf("conditions %v lack %v", seen, want)
+}
