--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -141,13 +141,14 @@
 	page      string
 	gathered  []listed
 	toReturn  map[string]string // name -> cause
+	gone      map[string]bool   // returned: a lagging list may still show them
 	listedAt  time.Duration
 }
 
 // New starts a manager for a term.
 func New(s *config.Settings, c *Cloud, f *fleet.Fleet, d *jobs.Door, types func() []MachineType, term uint64) *Manager {
 	return &Manager{Settings: s, Cloud: c, Fleet: f, Door: d, Types: types, Term: term,
-		boots: map[string]*boot{}, refused: map[offer]time.Duration{}, toReturn: map[string]string{}}
+		boots: map[string]*boot{}, refused: map[offer]time.Duration{}, toReturn: map[string]string{}, gone: map[string]bool{}}
 }
 
 // Tick does what is due. steady tells that this controller has had authority, and so
@@ -200,7 +201,7 @@
 	seen := map[string]bool{}
 	for _, l := range all {
 		seen[l.Name] = true
-		if m := c.Fleet.Find(l.Name); m != nil && m.Condition == fleet.Gone {
+		if m := c.Fleet.Find(l.Name); (m != nil && m.Condition == fleet.Gone) || c.gone[l.Name] {
 			continue // the list lags
 		}
 		switch l.State {
@@ -234,6 +235,11 @@
 			delete(c.boots, name)
 		}
 	}
+	for name := range c.gone {
+		if !seen[name] {
+			delete(c.gone, name) // names are never used again, and the list has caught up
+		}
+	}
 	for _, m := range c.Fleet.Machines() {
 		if !seen[m.Name] && m.Condition == fleet.Lost && now-m.Heard > lag+10*time.Second {
 			c.Fleet.Returned(now, m, "no longer listed")
@@ -338,6 +344,7 @@
 			}
 			delete(c.toReturn, n)
 			delete(c.boots, n)
+			c.gone[n] = true
 		}
 	})
 }
