--- a/cmd/harewalk/main.go
+++ b/cmd/harewalk/main.go
@@ -126,8 +126,8 @@
 			fmt.Fprintf(c.OutOrStdout(), "settings of %s are good: %d others, %d teams, %d objectives\n",
 				s.Node, len(s.Peers), len(s.Params.Teams), len(s.Params.Objectives))
 			o := s.Operator
-			fmt.Fprintf(c.OutOrStdout(), "hold_ttl_ms = %d\nsilent_s = %g\nidle_s = %g\nmax_machines = %d\nnetwork_factor = %g\n",
-				o.HoldTTLMS, o.SilentS, o.IdleS, o.MaxMachines, o.NetworkFactor)
+			fmt.Fprintf(c.OutOrStdout(), "hold_ttl_ms = %d\nsilent_s = %g\nidle_s = %g\nheadroom = %g\nmax_machines = %d\nnetwork_factor = %g\n",
+				o.HoldTTLMS, o.SilentS, o.IdleS, o.Headroom, o.MaxMachines, o.NetworkFactor)
 			return nil
 		},
 	}
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -283,7 +283,7 @@
 			case m.Condition == fleet.Acting && c.Fleet.Faulty(m):
 				c.Fleet.Retire(m, "faulty")
 			case m.Condition == fleet.Acting && len(m.On) == 0 && m.Planned == 0 &&
-				now-m.IdleSince > c.idleLimit(m):
+				now-m.IdleSince > c.idleLimit(m) && c.overBudget():
 				c.Fleet.Retire(m, "idle")
 			}
 		case fleet.Lost:
@@ -318,6 +318,12 @@
 	return config.Seconds(s)
 }
 
+// overBudget tells whether more stands idle than the headroom allows.
+func (c *Manager) overBudget() bool {
+	all, idle := c.prices()
+	return c.Fleet.Quiet() || idle > c.Settings.Operator.Headroom*all
+}
+
 // quietIdle is the limit while there is no job at all.
 const quietIdle = 30
 
@@ -411,7 +417,8 @@
 			bins = append(bins, &bin{bt.offer, times(t.Size(), horizon)})
 		}
 	}
-	for _, d := range c.Fleet.Demand(now) {
+	demand := c.Fleet.Demand(now)
+	for _, d := range demand {
 		left := d.Tasks
 		each := min(max(d.Seconds, 1), horizon)
 		if d.Whole {
@@ -444,6 +451,58 @@
 		c.ask(now, o, n)
 		return
 	}
+	c.spare(now, total)
+}
+
+// prices adds up what the fleet costs in an hour, and what of it stands idle or boots.
+func (c *Manager) prices() (all, idle float64) {
+	price := func(o offer) float64 {
+		t := c.typ(o.typ)
+		switch {
+		case t == nil:
+			return 0
+		case o.spot:
+			return t.Spot
+		}
+		return t.Price
+	}
+	for _, m := range c.Fleet.Machines() {
+		if m.Condition == fleet.Lost || m.Condition == fleet.Gone || m.Type == jobs.None {
+			continue
+		}
+		p := price(offer{m.Type, m.Zone, m.Spot})
+		all += p
+		if len(m.On) == 0 {
+			idle += p
+		}
+	}
+	for _, b := range c.boots {
+		all += price(b.offer)
+		idle += price(b.offer)
+	}
+	return all, idle
+}
+
+// spare rents ahead of need: a part of what the fleet costs may stand idle, so that a burst
+// does not have to wait for a boot. Each kind of job gets the cheapest machine for it.
+func (c *Manager) spare(now time.Duration, total int) {
+	all, idle := c.prices()
+	budget := c.Settings.Operator.Headroom * all
+	for _, j := range c.Fleet.Kinds() {
+		o, ok := c.choose(now, j)
+		if !ok || total >= c.Settings.Operator.MaxMachines {
+			continue
+		}
+		t := c.typ(o.typ)
+		p := t.Price
+		if o.spot {
+			p = t.Spot
+		}
+		if n := int((budget - idle) / p); n > 0 {
+			c.ask(now, o, min(n, 5))
+			return
+		}
+	}
 }
 
 // choose finds the offer with the lowest price for a job's task that was not refused
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -112,6 +112,8 @@
 	// IdleS is how long a machine may be idle before it is returned; 0 means as long as
 	// it would take to get it back.
 	IdleS float64 `hcl:"idle_s,optional" validate:"gte=0"`
+	// Headroom is the part of the fleet's price that may stand idle for bursts.
+	Headroom float64 `hcl:"headroom,optional" validate:"gte=0,lte=1"`
 	// MaxMachines bounds how many machines are rented in all.
 	MaxMachines int `hcl:"max_machines,optional" validate:"gte=1"`
 	// NetworkFactor scales the planner's q.
@@ -209,6 +211,9 @@
 	if o.SilentS == 0 {
 		o.SilentS = min(w.LeaseS, 3*w.ReportS+4)
 	}
+	if o.Headroom == 0 {
+		o.Headroom = 0.1
+	}
 	if o.MaxMachines == 0 {
 		o.MaxMachines = 500
 	}
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -117,3 +117,16 @@
 
 // Quiet tells that there is no job at all.
 func (f *Fleet) Quiet() bool { return f.loaded && len(f.order) == 0 }
+
+// Kinds gives one live job of each class, in rank order.
+func (f *Fleet) Kinds() []*jobs.Job {
+	var out []*jobs.Job
+	seen := map[int32]bool{}
+	for _, j := range f.order {
+		if j.Spec != nil && !seen[j.Class] {
+			seen[j.Class] = true
+			out = append(out, j)
+		}
+	}
+	return out
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -379,6 +379,9 @@
 		consider(j.At + config.Seconds(*j.Spec.DeadlineS) - est)
 	}
 	for _, o := range f.Settings.Params.Objectives {
+		if o.Kind == "guarantee" && f.within[j.Index] && !j.Started {
+			consider(j.At + config.Seconds(o.WithinS))
+		}
 		if o.Class != j.Spec.Class {
 			continue
 		}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -415,7 +415,7 @@
 	} else {
 		return
 	}
-	if j.N == 1 && ps[0].at+ps[0].fetch > patience && f.preemptFor(now, j, ps) {
+	if j.N == 1 && ps[0].at+ps[0].fetch > f.canWait(now, j) && f.preemptFor(now, j, ps) {
 		return
 	}
 	n := 0
--- a/internal/fleet/preempt.go
+++ b/internal/fleet/preempt.go
@@ -9,9 +9,19 @@
 	"github.com/harewalk/harewalk/internal/planner"
 )
 
-// patience is how many seconds a job waits for a natural end before it preempts.
+// patience is how many seconds a job always waits for a natural end before it preempts.
 const patience = 3.0
 
+// canWait is how many seconds a job may wait for a natural end before one of its aims is
+// missed; stopping others any earlier wastes their work for nothing.
+func (f *Fleet) canWait(now time.Duration, j *jobs.Job) float64 {
+	d, ok := f.due(now, j)
+	if !ok {
+		return patience
+	}
+	return max(patience, (d-now).Seconds()-patience)
+}
+
 // mayPreempt tells whether a job may have another's tasks stopped: those of a lower
 // priority, and what another team runs in excess of its guarantee if the job lies within
 // its own.
@@ -113,7 +123,7 @@
 		return
 	}
 	for _, m := range f.machines {
-		if m.Condition != Acting || m.Retiring || len(m.Lanes[j.Index]) == 0 || f.fits(m, j) || f.freeIn(now, m, j) < patience ||
+		if m.Condition != Acting || m.Retiring || len(m.Lanes[j.Index]) == 0 || f.fits(m, j) || f.freeIn(now, m, j) < f.canWait(now, j) ||
 			!f.allowed(m, j) || !f.Ledger.Fits(j.Team, j.Spec.Size(), 1) {
 			continue
 		}
