--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -115,6 +115,17 @@
 	spot      bool
 }
 
+// before orders offers, so that equal ones are chosen alike every time.
+func (o offer) before(p offer) bool {
+	if o.typ != p.typ {
+		return o.typ < p.typ
+	}
+	if o.zone != p.zone {
+		return o.zone < p.zone
+	}
+	return o.spot && !p.spot
+}
+
 // boot is a machine that was rented and has not reported yet.
 type boot struct {
 	offer
@@ -417,8 +428,8 @@
 			bins = append(bins, &bin{bt.offer, times(t.Size(), horizon)})
 		}
 	}
-	demand := c.Fleet.Demand(now)
-	for _, d := range demand {
+	wanted := map[offer]int{}
+	for _, d := range c.Fleet.Demand(now) {
 		left := d.Tasks
 		each := min(max(d.Seconds, 1), horizon)
 		if d.Whole {
@@ -434,21 +445,32 @@
 				}
 			}
 		}
-		if left <= 0 {
-			continue
-		}
-		o, ok := c.choose(now, d.Job)
-		if !ok {
-			continue
+		for left > 0 && total < c.Settings.Operator.MaxMachines {
+			o, ok := c.choose(now, d.Job)
+			if !ok {
+				break
+			}
+			b := &bin{o, times(c.typ(o.typ).Size(), horizon)}
+			n := min(left, need.Copies(b.room))
+			if n <= 0 {
+				break
+			}
+			b.room = b.room.Sub(times(need, float64(n)))
+			left -= n
+			total++
+			bins = append(bins, b)
+			wanted[o]++
 		}
-		t := c.typ(o.typ)
-		lanes := max(1, need.Copies(times(t.Size(), horizon)))
-		n := int(math.Ceil(float64(left) / float64(lanes)))
-		n = min(n, 10, c.Settings.Operator.MaxMachines-total)
-		if n <= 0 {
-			continue
+	}
+	// One request a turn: the offer of which most are wanted.
+	var best offer
+	for o, n := range wanted {
+		if n > wanted[best] || (n == wanted[best] && o.before(best)) {
+			best = o
 		}
-		c.ask(now, o, n)
+	}
+	if n := wanted[best]; n > 0 {
+		c.ask(now, best, min(n, 20))
 		return
 	}
 	c.spare(now, total)
