--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,216 @@
+package intake
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/httpio"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/statetest"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	os.Exit(m.Run())
+}
+
+// desk is one controller's intake before the stand-in; the test delivers answers.
+type desk struct {
+	*Intake
+	svc   *statetest.Service
+	lose  bool // answers are lost after the request was carried out
+	drop  bool // requests are lost
+	queue []func()
+}
+
+func (d *desk) Send(_ string, r httpio.Request, done func(httpio.Response)) {
+	d.queue = append(d.queue, func() {
+		if d.drop {
+			done(httpio.Response{Err: httpio.ErrBusy})
+			return
+		}
+		res := d.svc.Serve(r)
+		if d.lose && r.Path == "/txn" {
+			res = httpio.Response{Err: httpio.ErrBusy}
+		}
+		done(res)
+	})
+}
+
+func (d *desk) run() {
+	for len(d.queue) > 0 {
+		f := d.queue[0]
+		d.queue = d.queue[1:]
+		f()
+		d.svc.Now += 50 * time.Millisecond
+		d.Tick(d.svc.Now)
+	}
+}
+
+func newDesk(svc *statetest.Service) *desk {
+	d := &desk{svc: svc}
+	st := store.New("", d, func() time.Duration { return svc.Now }, store.Share{RPS: 1e6, WriteRPS: 1e6}, 24)
+	book := jobs.NewBook(0)
+	d.Intake = New(Env{Store: st, Book: book, Ready: func() bool { return true }, TxnOps: 24,
+		Admit: func(s *jobs.Spec) (bool, bool, string) {
+			return s.Team == "t", s.Team != "unknown yet", "team"
+		},
+		Counts: func(j *jobs.Job) (int, int) { return j.DoneN, j.RunningN },
+		Learned: func(_ time.Duration, it store.Item) {
+			_, _, _ = book.Apply(strings.TrimPrefix(it.Key, jobs.Prefix), it.Value, it.Version)
+		}})
+	return d
+}
+
+func job(n int) *jobs.Spec {
+	return &jobs.Spec{ID: fmt.Sprintf("req-%06d", n), Class: "c", Team: "t", Kind: jobs.Array, Priority: "standard", Tasks: 3, CPUs: 1, Image: "i"}
+}
+
+// ask collects one answer and fails if there is none or more than one.
+func (d *desk) ask(t *testing.T, f func(reply func(Reply))) Reply {
+	t.Helper()
+	var got []Reply
+	f(func(r Reply) { got = append(got, r) })
+	d.run()
+	if len(got) != 1 {
+		t.Fatalf("%d answers", len(got))
+	}
+	return got[0]
+}
+
+func (d *desk) submit(t *testing.T, s *jobs.Spec) Reply {
+	t.Helper()
+	return d.ask(t, func(r func(Reply)) { d.Submit(d.svc.Now, s, r) })
+}
+
+func (d *desk) query(t *testing.T, id string) Reply {
+	t.Helper()
+	return d.ask(t, func(r func(Reply)) { d.Query(d.svc.Now, id, r) })
+}
+
+func (d *desk) abort(t *testing.T, id string) Reply {
+	t.Helper()
+	return d.ask(t, func(r func(Reply)) { d.Abort(d.svc.Now, id, r) })
+}
+
+func stance(r Reply) string {
+	b, _ := json.Marshal(r.Body)
+	var v struct {
+		Stance string `json:"stance"`
+	}
+	_ = json.Unmarshal(b, &v)
+	return v.Stance
+}
+
+func TestSubmitQueryAbort(t *testing.T) {
+	svc := statetest.New()
+	a, b := newDesk(svc), newDesk(svc)
+	if r := a.submit(t, job(1)); r.Status != 201 {
+		t.Fatalf("submit: %+v", r)
+	}
+	if r := a.submit(t, job(1)); r.Status != 200 || stance(r) != "pending" {
+		t.Fatalf("the same again: %+v", r)
+	}
+	// Another controller has not heard of the job yet and must not say 404.
+	if r := b.query(t, "req-000001"); r.Status != 200 {
+		t.Fatalf("another controller: %+v", r)
+	}
+	if r := newDesk(svc).submit(t, job(1)); r.Status != 200 {
+		t.Fatalf("retry elsewhere: %+v", r)
+	}
+	if r := a.query(t, "req-000002"); r.Status != 404 {
+		t.Fatalf("unknown: %+v", r)
+	}
+	if r := b.abort(t, "req-000001"); r.Status != 200 || stance(r) != "cancelled" {
+		t.Fatalf("abort: %+v", r)
+	}
+	// The first controller still believes it is pending: it must ask.
+	if r := a.query(t, "req-000001"); stance(r) != "cancelled" {
+		t.Fatalf("an older answer: %+v", r)
+	}
+	if r := a.abort(t, "req-000001"); stance(r) != "cancelled" {
+		t.Fatalf("abort again: %+v", r)
+	}
+	if r := a.abort(t, "req-000009"); r.Status != 404 {
+		t.Fatalf("abort of an unknown job: %+v", r)
+	}
+	bad := job(3)
+	bad.Team = "other"
+	if r := a.submit(t, bad); r.Status != 422 {
+		t.Fatalf("unknown team: %+v", r)
+	}
+	bad.Team = "unknown yet"
+	if r := a.submit(t, bad); r.Status != 503 || r.RetryAfter == 0 {
+		t.Fatalf("undecided: %+v", r)
+	}
+}
+
+// A lost answer is resolved by a read: 201 and 200 are said only of what is stored.
+func TestOpenOutcomes(t *testing.T) {
+	svc := statetest.New()
+	d := newDesk(svc)
+	d.lose = true
+	if r := d.submit(t, job(1)); r.Status != 200 || svc.Keys[jobs.RecordKey("req-000001")].Version == 0 {
+		t.Fatalf("stored, answer lost: %+v", r)
+	}
+	if r := d.abort(t, "req-000001"); stance(r) != "cancelled" {
+		t.Fatalf("cancelled, answer lost: %+v", r)
+	}
+	d.lose, d.drop = false, true
+	if r := d.submit(t, job(2)); r.Status != 503 || r.RetryAfter == 0 {
+		t.Fatalf("nothing gets through: %+v", r)
+	}
+}
+
+// In an outage what can't be decided is refused at once; final states are still told.
+func TestOutage(t *testing.T) {
+	svc := statetest.New()
+	d := newDesk(svc)
+	d.submit(t, job(1))
+	d.submit(t, job(2))
+	d.abort(t, "req-000002")
+	svc.Down = true
+	for name, r := range map[string]Reply{
+		"submit": d.submit(t, job(3)), "query": d.query(t, "req-000001"), "unknown": d.query(t, "req-000077"), "abort": d.abort(t, "req-000001"),
+	} {
+		if r.Status != 503 || r.RetryAfter == 0 {
+			t.Errorf("%s in an outage: %+v", name, r)
+		}
+	}
+	if r := d.query(t, "req-000002"); stance(r) != "cancelled" {
+		t.Errorf("final state in an outage: %+v", r)
+	}
+	svc.Now += 10 * time.Second
+	sent := len(d.queue)
+	d.Submit(svc.Now, job(4), func(r Reply) {
+		if r.Status != 503 {
+			t.Errorf("after 10 s of silence: %+v", r)
+		}
+	})
+	if len(d.queue) != sent {
+		t.Error("asked a service that has been silent for 10 s and held the user back")
+	}
+}
+
+// The queue is bounded, and everybody gets an answer.
+func TestFloodIsShed(t *testing.T) {
+	svc := statetest.New()
+	d := newDesk(svc)
+	n := map[int]int{}
+	for i := range 3 * maxSubmits {
+		d.Submit(svc.Now, job(i), func(r Reply) { n[r.Status]++ })
+	}
+	d.run()
+	if n[201]+n[429] != 3*maxSubmits || n[201] < maxSubmits || n[429] == 0 {
+		t.Fatalf("answers %v", n)
+	}
+	if len(svc.Keys) != n[201] {
+		t.Fatalf("%d stored, %d accepted", len(svc.Keys), n[201])
+	}
+}
--- /dev/null
+++ b/internal/jobs/jobs_test.go
@@ -0,0 +1,179 @@
+package jobs
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+const good = `{"name_id":"req-000412","breed":"train","warren":"vision","gait":"gang","urgency":"urgent","hops":16,
+ "cpus":8.0,"accelerators":1.0,"memory_gb":64.0,"pelt":"img-07","size_gb":6.2,"builds":["g8"],"meadow":null,
+ "same_place":true,"apart":false,"stray":true,"stride_s":240.0,"rest_s":30.0,"stash_s":4.0,"dusk_s":900.0,"new":[1]}`
+
+func TestParseSpec(t *testing.T) {
+	s, err := ParseSpec([]byte(good))
+	if err != nil || s.Tasks != 16 || s.Zone != nil || *s.DeadlineS != 900 || s.Level() != 2 {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	bad := map[string]string{
+		"not JSON":       `{"name_id":`,
+		"trailing":       good + "x",
+		"an array":       `[1]`,
+		"null":           `null`,
+		"no id":          strings.Replace(good, `"name_id":"req-000412",`, "", 1),
+		"a null field":   strings.Replace(good, `"cpus":8.0`, `"cpus":null`, 1),
+		"a form":         strings.Replace(good, "req-000412", "job-000412", 1),
+		"a path as id":   strings.Replace(good, "req-000412", "req-0/../x", 1),
+		"a string":       strings.Replace(good, `"hops":16`, `"hops":"16"`, 1),
+		"half a task":    strings.Replace(good, `"hops":16`, `"hops":1.5`, 1),
+		"no tasks":       strings.Replace(good, `"hops":16`, `"hops":0`, 1),
+		"too many tasks": strings.Replace(good, `"hops":16`, `"hops":100001`, 1),
+		"negative":       strings.Replace(good, `"cpus":8.0`, `"cpus":-8.0`, 1),
+		"a kind":         strings.Replace(good, `"gang"`, `"band"`, 1),
+		"a priority":     strings.Replace(good, `"urgent"`, `"soon"`, 1),
+		"a bool":         strings.Replace(good, `"stray":true`, `"stray":1`, 1),
+		"no types":       strings.Replace(good, `["g8"]`, `[]`, 1),
+		"too large":      strings.Replace(good, "vision", strings.Repeat("v", 64<<10), 1),
+	}
+	for what, body := range bad {
+		if _, err := ParseSpec([]byte(body)); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%s was taken: %v", what, err)
+		}
+	}
+	for _, n := range []string{`"hops":1`, `"hops":100000`} {
+		if _, err := ParseSpec([]byte(strings.Replace(good, `"hops":16`, n, 1))); err != nil {
+			t.Errorf("%s refused: %v", n, err)
+		}
+	}
+}
+
+// Whatever users send, parsing returns a job within bounds or an error.
+func TestHostileSubmissions(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 5))
+	taken := 0
+	for range 20_000 {
+		raw := []byte(good)
+		for range 1 + rng.IntN(3) {
+			raw[rng.IntN(len(raw))] = byte(32 + rng.IntN(95))
+		}
+		s, err := ParseSpec(raw)
+		if err != nil {
+			continue
+		}
+		taken++
+		if s.Tasks < 1 || s.Tasks > MaxTasks || !ValidID(s.ID) || s.CPUs < 0 || s.Mem < 0 {
+			t.Fatalf("taken: %+v from %s", s, raw)
+		}
+	}
+	if taken == 0 || taken == 20_000 {
+		t.Fatalf("%d of 20000 taken: the test decides nothing", taken)
+	}
+}
+
+func spec(n int) *Spec {
+	s, err := ParseSpec([]byte(strings.Replace(good, `"hops":16`, fmt.Sprintf(`"hops":%d`, n), 1)))
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+// A chunk read back is what was written, for random plans, and fits a small value.
+func TestChunksSurviveTheStore(t *testing.T) {
+	rng := rand.New(rand.NewPCG(8, 8))
+	for range 300 {
+		n := 1 + rng.IntN(3*ChunkTasks)
+		j := &Job{ID: "req-000001", N: n, Spec: spec(n), ZoneUse: map[int32]int{}}
+		j.Open()
+		machines := 1 + rng.IntN(400)
+		for i := range j.Tasks {
+			switch rng.IntN(3) {
+			case 0:
+				j.Tasks[i].Machine = int32(rng.IntN(machines))
+				j.Tasks[i].State = Planned
+			case 1:
+				j.Tasks[i].State = Finished
+			}
+		}
+		for _, c := range j.Chunks {
+			raw, snap := j.EncodeChunk(c, 7, func(m int32) string { return fmt.Sprintf("i-%06d", m) })
+			if len(raw) > 8<<10 {
+				t.Fatalf("value of %d bytes", len(raw))
+			}
+			on, done, err := DecodeChunk(raw, len(c.Durable), func(s string) int32 {
+				var m int32
+				_, _ = fmt.Sscanf(s, "i-%d", &m)
+				return m
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range on {
+				task := j.Tasks[c.No*ChunkTasks+i]
+				if done[i] != (task.State == Finished) || (!done[i] && on[i] != task.Machine) {
+					t.Fatalf("task %d: %d %v, want %+v", i, on[i], done[i], task)
+				}
+				if done[i] != (snap[i] == DurablyDone) {
+					t.Fatalf("snapshot %d of task %d", snap[i], i)
+				}
+			}
+			for range 30 { // a damaged value is refused or read, never a panic
+				b := append([]byte(nil), raw...)
+				b[rng.IntN(len(b))] = byte(32 + rng.IntN(95))
+				_, _, _ = DecodeChunk(b, len(c.Durable), func(string) int32 { return 0 })
+			}
+		}
+	}
+}
+
+// The book never tells an older stance, in whatever order records arrive.
+func TestStanceOnlyGoesForward(t *testing.T) {
+	rng := rand.New(rand.NewPCG(4, 4))
+	s := spec(2)
+	recs := []struct {
+		raw json.RawMessage
+		v   uint64
+		st  Stance
+	}{{EncodeRecord(Pending, 5, 2, s), 3, Pending}, {EncodeRecord(Pending, 5, 2, s), 4, Pending}, {EncodeRecord(Cancelled, 5, 2, s), 9, Cancelled}}
+	for range 200 {
+		b := NewBook(0)
+		newest := 0
+		for _, i := range rng.Perm(len(recs)) {
+			if _, _, err := b.Apply(s.ID, recs[i].raw, recs[i].v); err != nil {
+				t.Fatal(err)
+			}
+			newest = max(newest, i)
+			if j := b.Get(s.ID); j.Stance != recs[newest].st || j.Version != recs[newest].v {
+				t.Fatalf("told %v at %d, newest is %v at %d", j.Stance, j.Version, recs[newest].st, recs[newest].v)
+			}
+		}
+		live := 0
+		b.Live(func(*Job) { live++ })
+		if live != 0 {
+			t.Fatal("a cancelled job is live")
+		}
+	}
+}
+
+// Only the listed changes of a task's state are possible.
+func TestTaskStatesAreGuarded(t *testing.T) {
+	j := &Job{ID: "req-000001", N: 1, Spec: spec(1), ZoneUse: map[int32]int{}}
+	j.Open()
+	for _, s := range []State{Launched, OnMachine} {
+		err := j.Set(0, s)
+		if s == Launched && err == nil {
+			t.Fatal("an unplanned task was launched")
+		}
+	}
+	if err := j.Set(0, Finished); err != nil || j.DoneN != 1 {
+		t.Fatal(err, j.DoneN)
+	}
+	for s := Unplanned; s <= Finished; s++ {
+		if j.Set(0, s) == nil {
+			t.Fatalf("a finished task became %v", s)
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,266 @@
+package membership
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/httpio"
+	"github.com/harewalk/harewalk/internal/statetest"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	os.Exit(m.Run())
+}
+
+type flight struct {
+	at time.Duration
+	f  func()
+}
+
+// cluster drives several memberships against one service over a network that delays and
+// loses.
+type cluster struct {
+	t     *testing.T
+	rng   *rand.Rand
+	svc   *statetest.Service
+	nodes []*node
+	net   []flight
+	terms map[uint64]string
+	lossy float64
+}
+
+type node struct {
+	c     *cluster
+	name  string
+	gen   int
+	mem   *Membership
+	seen  time.Duration
+	known map[string]uint64
+	cut   bool // from the state service
+}
+
+// Send implements httpio.Sender.
+func (n *node) Send(_ string, r httpio.Request, done func(httpio.Response)) {
+	c, gen := n.c, n.gen
+	back := func(res httpio.Response) {
+		if n.gen == gen {
+			done(res)
+		}
+	}
+	delay := func() time.Duration { return time.Duration(c.rng.Int64N(int64(30 * time.Millisecond))) }
+	if n.cut || c.rng.Float64() < c.lossy {
+		late := c.rng.IntN(2) == 0 // what was given up may still be carried out, late
+		if late {
+			c.net = append(c.net, flight{c.svc.Now + time.Duration(c.rng.Int64N(int64(8*time.Second))), func() { c.svc.Serve(r) }})
+		}
+		c.net = append(c.net, flight{c.svc.Now + r.Timeout, func() { back(httpio.Response{Err: httpio.ErrBusy}) }})
+		return
+	}
+	c.net = append(c.net, flight{c.svc.Now + delay(), func() {
+		res := c.svc.Serve(r)
+		c.net = append(c.net, flight{c.svc.Now + delay(), func() { back(res) }})
+	}})
+}
+
+func (n *node) start() {
+	n.gen++
+	c := n.c
+	now := func() time.Duration { return c.svc.Now }
+	st := store.New("", n, now, store.Share{RPS: 1e6, WriteRPS: 1e6}, 24)
+	n.seen = c.svc.Now
+	n.known = map[string]uint64{}
+	n.mem = New(Config{Node: n.name, TTL: 3 * time.Second, Rng: c.rng,
+		OnLead: func(_ time.Duration, term uint64) {
+			if who, ok := c.terms[term]; ok {
+				c.t.Fatalf("term %d led by %s and %s", term, who, n.name)
+			}
+			c.terms[term] = fmt.Sprintf("%s.%d", n.name, n.gen)
+		},
+		OnLose: func(time.Duration) {}}, st, func() time.Duration { return n.seen })
+}
+
+// follow shows a node the keys as they are, as its mirror would.
+func (n *node) follow() {
+	if n.cut || n.c.svc.Down {
+		return
+	}
+	s := n.c.svc
+	n.seen = s.Now
+	for k, v := range n.known {
+		if s.Keys[k].Version == 0 {
+			delete(n.known, k)
+			n.mem.Drop(s.Now, k, s.Rev+v)
+		}
+	}
+	for k, it := range s.Keys {
+		if n.known[k] != it.Version {
+			n.known[k] = it.Version
+			n.mem.Item(s.Now, it)
+		}
+	}
+	n.mem.Synced(s.Now)
+}
+
+func (c *cluster) step() {
+	c.svc.Now += 20 * time.Millisecond
+	c.svc.Expire()
+	for i := 0; i < len(c.net); i++ {
+		if f := c.net[i]; f.at <= c.svc.Now {
+			c.net = append(c.net[:i], c.net[i+1:]...)
+			i--
+			f.f()
+		}
+	}
+	acting := ""
+	for _, n := range c.nodes {
+		if n.mem == nil {
+			continue
+		}
+		if c.rng.IntN(4) == 0 {
+			n.follow()
+		}
+		n.mem.Tick(c.svc.Now)
+		if n.mem.Authority(c.svc.Now) {
+			if acting != "" {
+				c.t.Fatalf("%v: %s and %s both have authority", c.svc.Now, acting, n.name)
+			}
+			acting = n.name
+		}
+	}
+}
+
+func newCluster(t *testing.T, seed uint64) *cluster {
+	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 3)), terms: map[uint64]string{},
+		svc: statetest.New()}
+	for i := range 3 {
+		n := &node{c: c, name: fmt.Sprintf("n-%d", i)}
+		c.nodes = append(c.nodes, n)
+		n.start()
+	}
+	return c
+}
+
+func (c *cluster) leader() *node {
+	for _, n := range c.nodes {
+		if n.mem != nil && n.mem.Authority(c.svc.Now) {
+			return n
+		}
+	}
+	return nil
+}
+
+func (c *cluster) runFor(d time.Duration) {
+	for end := c.svc.Now + d; c.svc.Now < end; {
+		c.step()
+	}
+}
+
+// At no time do two controllers have authority, no term is led twice, and once the troubles
+// end somebody leads: over crashes, restarts, cuts, outages and late transactions.
+func TestAtMostOneHasAuthority(t *testing.T) {
+	terms := 0
+	for seed := uint64(1); seed <= 25; seed++ {
+		c := newCluster(t, seed)
+		c.lossy = 0.03
+		for range 60 {
+			n := c.nodes[c.rng.IntN(3)]
+			switch c.rng.IntN(6) {
+			case 0:
+				n.gen++
+				n.mem = nil
+			case 1:
+				n.cut = !n.cut
+			case 2:
+				c.svc.Down = !c.svc.Down
+				if !c.svc.Down {
+					c.svc.Recover()
+				}
+			default:
+				if n.mem == nil {
+					n.start()
+				}
+			}
+			c.runFor(time.Duration(c.rng.Int64N(int64(4 * time.Second))))
+		}
+		c.lossy, c.svc.Down = 0, false
+		for _, n := range c.nodes {
+			n.cut = false
+			if n.mem == nil {
+				n.start()
+			}
+		}
+		c.runFor(25 * time.Second)
+		if c.leader() == nil {
+			t.Fatalf("seed %d: nobody leads in the end", seed)
+		}
+		terms += len(c.terms)
+	}
+	if terms < 100 {
+		t.Fatalf("only %d terms: the test decides little", terms)
+	}
+}
+
+// Refused by the state service alone, a leader stops acting before its hold can end, and
+// another takes over.
+func TestLeaderCutFromTheStateServiceAlone(t *testing.T) {
+	c := newCluster(t, 1)
+	c.runFor(3 * time.Second)
+	l := c.leader()
+	if l == nil {
+		t.Fatal("nobody leads")
+	}
+	l.cut = true
+	c.runFor(3 * time.Second)
+	if l.mem.Authority(c.svc.Now) {
+		t.Fatal("still acting after its hold has ended")
+	}
+	c.runFor(2 * time.Second)
+	if n := c.leader(); n == nil || n == l {
+		t.Fatal("nobody took over")
+	}
+}
+
+// A restarted leader ends the hold of its former process instead of waiting for it.
+func TestRestartIsFasterThanTheHold(t *testing.T) {
+	c := newCluster(t, 2)
+	c.runFor(3 * time.Second)
+	l := c.leader()
+	for _, n := range c.nodes {
+		n.gen++
+		n.mem = nil
+	}
+	l.start()
+	c.runFor(time.Second)
+	if c.leader() != l {
+		t.Fatal("the restarted leader waits for its own former hold")
+	}
+}
+
+// Rendezvous hashing parts machines evenly and moves only those of a lost owner.
+func TestPartMap(t *testing.T) {
+	all := PartMap{Owners: []string{"a", "b", "c"}}
+	two := PartMap{Owners: []string{"a", "c"}}
+	n := map[string]int{}
+	for i := range 3000 {
+		m := fmt.Sprintf("i-%06d", i)
+		o := all.Owner(m)
+		n[o]++
+		if o != "b" && two.Owner(m) != o {
+			t.Fatalf("%s moved from %s to %s although its owner stayed", m, o, two.Owner(m))
+		}
+	}
+	for o, k := range n {
+		if k < 800 || k > 1200 {
+			t.Fatalf("%s owns %d of 3000", o, k)
+		}
+	}
+	if (PartMap{}).Owner("x") != "" {
+		t.Fatal("an empty map has no owner")
+	}
+}
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -95,7 +95,9 @@
 	case gone:
 		// The service keeps a bounded number of changes: ours is no longer among them.
 		slog.Info("position lost, reading all keys again", "prefix", m.prefix)
+		// A service that says so time and again must not be asked without a pause.
 		m.to(Empty)
+		m.next = now + 100*time.Millisecond
 	case err != nil:
 		m.next = now + 250*time.Millisecond
 		return
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,155 @@
+package store_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/httpio"
+	"github.com/harewalk/harewalk/internal/statetest"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	os.Exit(m.Run())
+}
+
+// line answers each request at once from the stand-in, or as the test says.
+type line struct {
+	svc    *statetest.Service
+	sent   int
+	answer func(httpio.Request) (httpio.Response, bool)
+}
+
+func (l *line) Send(_ string, r httpio.Request, done func(httpio.Response)) {
+	l.sent++
+	if l.answer != nil {
+		if res, ok := l.answer(r); ok {
+			done(res)
+			return
+		}
+	}
+	done(l.svc.Serve(r))
+}
+
+func TestBudgetKeepsAReserveForSafety(t *testing.T) {
+	b := store.NewBudget(10)
+	spend := func(now time.Duration, c store.Class) (n int) {
+		for b.Has(now, 1, c) {
+			b.Take(1)
+			n++
+		}
+		return n
+	}
+	ordinary := spend(0, store.Ordinary)
+	safety := spend(0, store.Safety)
+	if ordinary < 5 || safety < 1 || ordinary+safety > 10 {
+		t.Fatalf("%d ordinary and %d safety requests of a burst of 10", ordinary, safety)
+	}
+	total := 0
+	for s := 1; s <= 100; s++ {
+		total += spend(time.Duration(s)*time.Second, store.Safety)
+	}
+	if total < 700 || total > 1000 {
+		t.Fatalf("%d requests in 100 s at 10 a second", total)
+	}
+	// One write larger than the bucket waits for a full one and is paid off afterwards.
+	if !b.Has(200*time.Second, 30, store.Safety) {
+		t.Fatal("an oversized transaction never goes out")
+	}
+	b.Take(30)
+	if b.Has(201*time.Second, 1, store.Safety) {
+		t.Fatal("the debt was forgiven")
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	now := time.Duration(0)
+	l := &line{svc: statetest.New()}
+	c := store.New("", l, func() time.Duration { return now }, store.Share{RPS: 1000, WriteRPS: 1000}, 24)
+	var got store.Result
+	put := func(key string, version, hold uint64) store.Outcome {
+		c.Txn(store.Txn{If: []store.Cond{{Key: key, Version: version}}, Then: []store.Op{{Put: key, Value: json.RawMessage("1"), Hold: hold}}},
+			store.Safety, func(r store.Result) { got = r })
+		return got.Outcome
+	}
+	cases := []struct {
+		what string
+		do   func() store.Outcome
+		want store.Outcome
+	}{
+		{"a new key", func() store.Outcome { return put("a", 0, 0) }, store.Committed},
+		{"the same again", func() store.Outcome { return put("a", 0, 0) }, store.Conflict},
+		{"an ended hold", func() store.Outcome { return put("b", 0, 99) }, store.NoHold},
+		{"an outage", func() store.Outcome { l.svc.Down = true; return put("b", 0, 0) }, store.NotDone},
+		{"no answer", func() store.Outcome {
+			l.answer = func(httpio.Request) (httpio.Response, bool) { return httpio.Response{Err: httpio.ErrBusy}, true }
+			return put("b", 0, 0)
+		}, store.Unknown},
+		{"a strange answer", func() store.Outcome {
+			l.answer = func(httpio.Request) (httpio.Response, bool) { return httpio.Response{Status: 500}, true }
+			return put("b", 0, 0)
+		}, store.Unknown},
+		{"a request that never left", func() store.Outcome {
+			l.answer = func(httpio.Request) (httpio.Response, bool) {
+				return httpio.Response{Err: httpio.ErrBusy, Refused: true}, true
+			}
+			return put("b", 0, 0)
+		}, store.NotDone},
+	}
+	for _, k := range cases {
+		if o := k.do(); o != k.want {
+			t.Errorf("%s: %v, want %v", k.what, o, k.want)
+		}
+	}
+}
+
+// A mirror sees every key over pages, every change by following, and reads all anew when
+// its position is lost.
+func TestMirror(t *testing.T) {
+	now := time.Duration(0)
+	l := &line{svc: statetest.New()}
+	c := store.New("", l, func() time.Duration { return now }, store.Share{RPS: 1e6, WriteRPS: 1e6}, 24)
+	put := func(k, v string) {
+		l.svc.Serve(httpio.Request{Path: "/txn", Body: fmt.Appendf(nil, `{"if":[],"apply":[{"set":%q,"data":%q}]}`, k, v)})
+	}
+	for i := range 2500 {
+		put(fmt.Sprintf("h/%05d", i), "x")
+	}
+	put("p/other", "y")
+	seen := map[string]string{}
+	m := store.NewMirror(c, "h/")
+	m.OnItem = func(it store.Item) { seen[it.Key] = string(it.Value) }
+	m.OnDrop = func(string, uint64) {}
+	follows := 0
+	l.answer = func(r httpio.Request) (httpio.Response, bool) {
+		if len(r.Path) > 7 && r.Path[:7] == "/follow" {
+			follows++
+		}
+		return httpio.Response{}, false
+	}
+	m.Tick(now)
+	if len(seen) != 2500 || !m.Synced() {
+		t.Fatalf("%d keys seen, want 2500", len(seen))
+	}
+	put("h/00007", "new")
+	now += time.Second
+	m.Tick(now)
+	if seen["h/00007"] != `"new"` || m.Fresh() != now {
+		t.Fatalf("a change was missed: %s", seen["h/00007"])
+	}
+	put("h/lost", "z")
+	l.svc.Gone = l.svc.Rev + 1
+	now += time.Second
+	m.Tick(now)
+	l.svc.Gone = 0
+	now += time.Second
+	m.Tick(now)
+	if seen["h/lost"] != `"z"` || follows < 3 {
+		t.Fatalf("the position was lost and a key with it (%d follows)", follows)
+	}
+}
