--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,67 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const settings = `{"node":"n-0","site":"a","public_addr":"10.0.0.1:8080","back":"10.0.0.1:8081","new_field":{"x":1},
+ "others":[{"node":"n-1","site":"b","endpoint":"10.0.0.2:8081"}],"services":{"cloud":"10.2.0.2:1","state":"10.2.0.1:2"},
+ "params":{"nodes":3,"zones":["a"],"teams":[{"name":"t","cpus":0.0,"cpus_max":0.0,"gpus":4.0,"gpus_max":12.0}],
+ "objectives":[{"kind":"wait","class":"c","within_s":12.0,"share":0.8}],
+ "workers":{"report_s":3.0,"lease_s":19.0,"gang_wait_s":30.0,"gang_peer_s":5.0,"cancel_s":39.0},
+ "state":{"rps":120.0,"write_rps":30.0,"value_kb":8.0,"txn_ops":24},"cloud":{"rps":8.0,"list_lag_s":6.0},
+ "machine_limits":{"cores":0.3,"mem_mb":179.0,"sockets":1200},"skew_ms":1000.0}}`
+
+func TestSettings(t *testing.T) {
+	s, err := Parse([]byte(settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.HoldTTL() != 6*time.Second || s.Lease() != 19*time.Second || s.Operator.Headroom != 0.1 || s.MoneyCounts() {
+		t.Fatalf("derived: %+v", s.Operator)
+	}
+	for old, bad := range map[string][2]string{
+		`"node":"n-0"`:                  {`"node":""`, `"node"`},
+		`"lease_s":19.0`:                {`"lease_s":0`, `params.workers.lease_s`},
+		`"state":"10.2.0.1:2"`:          {`"state":"nowhere"`, `services.state`},
+		`"txn_ops":24`:                  {`"txn_ops":"24"`, `txn_ops`},
+		`"endpoint":"10.0.0.2:8081"`:    {`"endpoint":""`, `others[0].endpoint`},
+		`"gpus":4.0`:                    {`"gpus":-4.0`, `params.teams[0].gpus`},
+		`"teams":[{"name":"t",`:         {`"teams":[{"name":"t"},{"name":"t",`, `params.teams`},
+		`"public_addr":"10.0.0.1:8080"`: {`"public_addr":7`, `public_addr`},
+	} {
+		_, err := Parse([]byte(strings.Replace(settings, old, bad[0], 1)))
+		if err == nil || !strings.Contains(err.Error(), bad[1]) {
+			t.Errorf("%s: error %v does not name %s", bad[0], err, bad[1])
+		}
+	}
+}
+
+func TestOperatorsFile(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, body string) string {
+		p := filepath.Join(dir, name)
+		if err := os.WriteFile(p, []byte(body), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	js := file("s.json", settings)
+	s, err := Load(js, file("good.hcl", "hold_ttl_ms = 4000\nidle_s = 20\n"))
+	if err != nil || s.HoldTTL() != 4*time.Second || s.Operator.IdleS != 20 || s.Operator.MaxMachines == 0 {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	for body, want := range map[string]string{
+		"hold_ttl_ms = 4000\nhold = 3\n": "bad.hcl:2",
+		"idle_s = \"soon\"\n":            "idle_s",
+		"hold_ttl_ms = 10\n":             "hold_ttl_ms",
+	} {
+		if _, err := Load(js, file("bad.hcl", body)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: error %v does not name %s", body, err, want)
+		}
+	}
+}
