--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -57,7 +57,7 @@
 	}
 	for body, want := range map[string]string{
 		"hold_ttl_ms = 4000\nhold = 3\n": "bad.hcl:2",
-		"idle_s = \"soon\"\n":            "idle_s",
+		"idle_s = \"soon\"\n":            "bad.hcl:1",
 		"hold_ttl_ms = 10\n":             "hold_ttl_ms",
 	} {
 		if _, err := Load(js, file("bad.hcl", body)); err == nil || !strings.Contains(err.Error(), want) {
