--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -141,6 +141,7 @@
 	Types    func() []MachineType
 	Term     uint64
 
+	closed    bool
 	claims    uint64
 	boots     map[string]*boot
 	refused   map[offer]time.Duration
@@ -151,15 +152,28 @@
 	nextRent  time.Duration
 	page      string
 	gathered  []listed
-	toReturn  map[string]string // name -> cause
-	gone      map[string]bool   // returned: a lagging list may still show them
+	toReturn  map[string]string        // name -> cause
+	gone      map[string]time.Duration // returned when: lagging lists may still show them
 	listedAt  time.Duration
 }
 
 // New starts a manager for a term.
 func New(s *config.Settings, c *Cloud, f *fleet.Fleet, d *jobs.Door, types func() []MachineType, term uint64) *Manager {
 	return &Manager{Settings: s, Cloud: c, Fleet: f, Door: d, Types: types, Term: term,
-		boots: map[string]*boot{}, refused: map[offer]time.Duration{}, toReturn: map[string]string{}, gone: map[string]bool{}}
+		boots: map[string]*boot{}, refused: map[offer]time.Duration{}, toReturn: map[string]string{}, gone: map[string]time.Duration{}}
+}
+
+// Close ends the manager with its term. Answers that come later find a fleet whose tasks
+// are no longer kept; touching it once ended the controller.
+func (c *Manager) Close() { c.closed = true }
+
+// call sends a request whose answer only counts within the term.
+func (c *Manager) call(method, path string, body any, done func(httpio.Response)) bool {
+	return c.Cloud.call(method, path, body, func(r httpio.Response) {
+		if !c.closed {
+			done(r)
+		}
+	})
 }
 
 // Tick does what is due. steady tells that this controller has had authority, and so
@@ -182,7 +196,7 @@
 	if c.page != "" {
 		path += "&since=" + url.QueryEscape(c.page)
 	}
-	c.listing = c.Cloud.call("GET", path, nil, func(r httpio.Response) {
+	c.listing = c.call("GET", path, nil, func(r httpio.Response) {
 		c.listing = false
 		at := c.Cloud.now()
 		var b struct {
@@ -212,7 +226,7 @@
 	seen := map[string]bool{}
 	for _, l := range all {
 		seen[l.Name] = true
-		if m := c.Fleet.Find(l.Name); (m != nil && m.Condition == fleet.Gone) || c.gone[l.Name] {
+		if m := c.Fleet.Find(l.Name); (m != nil && m.Condition == fleet.Gone) || c.gone[l.Name] > 0 {
 			continue // the list lags
 		}
 		switch l.State {
@@ -246,9 +260,10 @@
 			delete(c.boots, name)
 		}
 	}
-	for name := range c.gone {
-		if !seen[name] {
-			delete(c.gone, name) // names are never used again, and the list has caught up
+	for name, at := range c.gone {
+		// A list may be older than the one before, so that one without it proves nothing.
+		if now-at > 10*lag {
+			delete(c.gone, name)
 		}
 	}
 	for _, m := range c.Fleet.Machines() {
@@ -348,7 +363,7 @@
 	}
 	sort.Strings(names)
 	names = names[:min(len(names), 100)]
-	c.returning = c.Cloud.call("POST", "/machines/return", map[string]any{"dens": names}, func(r httpio.Response) {
+	c.returning = c.call("POST", "/machines/return", map[string]any{"dens": names}, func(r httpio.Response) {
 		c.returning = false
 		if r.Err != nil || r.Status != 200 {
 			return
@@ -361,7 +376,7 @@
 			}
 			delete(c.toReturn, n)
 			delete(c.boots, n)
-			c.gone[n] = true
+			c.gone[n] = at
 		}
 	})
 }
@@ -571,7 +586,7 @@
 	claim := fmt.Sprintf("r-%d-%d", c.Term, c.claims)
 	body := map[string]any{"claim": claim, "build": c.Door.Types.Name(o.typ), "meadow": c.Door.Zones.Name(o.zone),
 		"stray": o.spot, "how_many": n}
-	c.renting = c.Cloud.call("POST", "/machines", body, func(r httpio.Response) {
+	c.renting = c.call("POST", "/machines", body, func(r httpio.Response) {
 		c.renting = false
 		at := c.Cloud.now()
 		var b struct {
--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,231 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/fleet"
+	"github.com/harewalk/harewalk/internal/httpio"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	os.Exit(m.Run())
+}
+
+// cloud is a stand-in for the cloud: offers by kind, boots that take a while, a list.
+type cloud struct {
+	now    time.Duration
+	room   map[string]int // by zone and kind
+	list   map[string]listed
+	born   map[string]time.Duration
+	claims map[string]bool
+	n      int
+	hold   []func()
+	held   bool
+	asked  []string
+}
+
+func (c *cloud) Send(_ string, r httpio.Request, done func(httpio.Response)) {
+	res := c.serve(r)
+	c.hold = append(c.hold, func() { done(res) })
+}
+
+func answer(status int, v any) httpio.Response {
+	b, _ := json.Marshal(v)
+	return httpio.Response{Status: status, Body: b}
+}
+
+func (c *cloud) serve(r httpio.Request) httpio.Response {
+	switch {
+	case r.Path == "/machines/return":
+		var b struct {
+			Names []string `json:"dens"`
+		}
+		_ = json.Unmarshal(r.Body, &b)
+		for _, n := range b.Names {
+			delete(c.list, n)
+		}
+		c.asked = append(c.asked, "return")
+		return answer(200, nil)
+	case r.Method == "POST":
+		var b struct {
+			Claim string `json:"claim"`
+			Type  string `json:"build"`
+			Zone  string `json:"meadow"`
+			Spot  bool   `json:"stray"`
+			N     int    `json:"how_many"`
+		}
+		_ = json.Unmarshal(r.Body, &b)
+		if c.claims[b.Claim] {
+			panic("claim used twice: " + b.Claim)
+		}
+		c.claims[b.Claim] = true
+		kind := fmt.Sprint(b.Zone, b.Spot)
+		c.asked = append(c.asked, kind)
+		n := min(b.N, c.room[kind])
+		if n <= 0 {
+			return answer(503, map[string]string{"error": "no capacity"})
+		}
+		c.room[kind] -= n
+		var names []string
+		for range n {
+			c.n++
+			name := fmt.Sprintf("i-%06d", c.n)
+			names = append(names, name)
+			c.list[name] = listed{Name: name, Addr: "x", Type: b.Type, Zone: b.Zone, Spot: b.Spot, State: booting}
+			c.born[name] = c.now
+		}
+		return answer(200, map[string]any{"dens": names})
+	}
+	var all []listed
+	for n, l := range c.list {
+		l.AgeS = (c.now - c.born[n]).Seconds()
+		all = append(all, l)
+	}
+	return answer(200, map[string]any{"dens": all, "has_next": false})
+}
+
+type bench struct {
+	*Manager
+	cloud *cloud
+	book  *jobs.Book
+	rev   uint64
+}
+
+func setup(t *testing.T) *bench {
+	s := &config.Settings{}
+	s.Params.Teams = []config.Team{{Name: "t"}}
+	s.Params.Workers = config.Workers{ReportS: 3, LeaseS: 20}
+	s.Params.Cloud = config.Cloud{RPS: 100, ListLagS: 4}
+	s.Operator = config.Operator{SilentS: 13, MaxMachines: 50, NetworkFactor: 1}
+	types := []MachineType{{Name: "m", CPUs: 4, Mem: 16, CacheGB: 10, FetchGB: 1, Price: 2, Spot: 1, BootS: 40, Zones: []string{"a", "b"}}}
+	c := &cloud{room: map[string]int{}, list: map[string]listed{}, born: map[string]time.Duration{}, claims: map[string]bool{}}
+	book := jobs.NewBook(0)
+	now := func() time.Duration { return c.now }
+	f := fleet.New(fleet.Env{Settings: s, Book: book, Rng: rand.New(rand.NewPCG(1, 1)), TxnOps: 20, Now: now,
+		Types: func(int32) *fleet.Type {
+			return &fleet.Type{Size: types[0].Size(), CacheGB: 10, FetchGB: 1, BootS: 40}
+		},
+		Room:   func(int) bool { return true },
+		Commit: func(store.Txn, func(store.Result)) {}}, 1, 0)
+	f.Load(0, nil)
+	b := &bench{cloud: c, book: book}
+	b.Manager = New(s, NewCloud("", c, now, 100), f, book.Door, func() []MachineType { return types }, 1)
+	return b
+}
+
+func (b *bench) submit(t *testing.T, tasks int, spot bool) {
+	b.rev++
+	sp := &jobs.Spec{ID: fmt.Sprintf("req-%06d", b.rev), Class: "c", Team: "t", Kind: jobs.Array, Priority: "standard", Tasks: tasks,
+		CPUs: 1, Mem: 1, Image: "i", ImageGB: 1, EstimateS: 100, Spot: spot}
+	j, _, err := b.book.Apply(sp.ID, jobs.EncodeRecord(jobs.Pending, 0, tasks, sp), b.rev)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Fleet.Changed(b.cloud.now, j)
+	b.Fleet.Rank(b.cloud.now)
+}
+
+func (b *bench) runFor(d time.Duration) {
+	for end := b.cloud.now + d; b.cloud.now < end; b.cloud.now += 100 * time.Millisecond {
+		b.Tick(b.cloud.now, true)
+		for len(b.cloud.hold) > 0 && !b.cloud.held {
+			f := b.cloud.hold[0]
+			b.cloud.hold = b.cloud.hold[1:]
+			f()
+		}
+	}
+}
+
+func TestRentsForWaitingWork(t *testing.T) {
+	b := setup(t)
+	b.cloud.room = map[string]int{"atrue": 1, "btrue": 2, "afalse": 9}
+	b.runFor(5 * time.Second)
+	if len(b.cloud.list) != 0 {
+		t.Fatal("rented without work")
+	}
+	b.submit(t, 16, true)
+	b.runFor(15 * time.Second)
+	spot, ordinary := 0, 0
+	for _, l := range b.cloud.list {
+		if l.Spot {
+			spot++
+		} else {
+			ordinary++
+		}
+	}
+	if spot != 3 || ordinary != 1 {
+		t.Fatalf("%d spot and %d ordinary machines, want the 3 cheap ones there are and 1 more", spot, ordinary)
+	}
+	b = setup(t)
+	b.cloud.room = map[string]int{"atrue": 5, "bfalse": 5}
+	b.submit(t, 4, false)
+	b.runFor(15 * time.Second)
+	for _, l := range b.cloud.list {
+		if l.Spot {
+			t.Fatal("rented a spot machine for a job that may not use it")
+		}
+	}
+	if len(b.cloud.list) != 1 {
+		t.Fatalf("%d machines for one machine's work", len(b.cloud.list))
+	}
+}
+
+// A boot that never comes up is deleted, and the lagging list does not bring it back.
+func TestBootThatNeverComesUp(t *testing.T) {
+	b := setup(t)
+	b.cloud.room = map[string]int{"afalse": 1}
+	b.submit(t, 1, false)
+	b.runFor(5 * time.Second)
+	if len(b.cloud.list) != 1 {
+		t.Fatal("nothing rented")
+	}
+	b.cloud.asked = nil
+	var ghost listed
+	for _, l := range b.cloud.list {
+		ghost = l
+	}
+	b.runFor(230 * time.Second)
+	b.cloud.list[ghost.Name] = ghost
+	b.runFor(20 * time.Second)
+	returns := 0
+	for _, a := range b.cloud.asked {
+		if a == "return" {
+			returns++
+		}
+	}
+	if returns != 1 {
+		t.Fatalf("returned %d times, want once", returns)
+	}
+}
+
+// An answer of the cloud that comes after the term touches nothing of it. This once ended
+// the controller.
+func TestAnswersAfterTheTerm(t *testing.T) {
+	b := setup(t)
+	m := b.Fleet.Machine(0, "i-000001")
+	b.cloud.list[m.Name] = listed{Name: m.Name, Addr: "x", Type: "m", Zone: "a", State: failed}
+	b.cloud.held = true
+	b.toReturn[m.Name] = "failed"
+	b.runFor(time.Second)
+	if len(b.cloud.hold) < 2 {
+		t.Fatal("nothing was asked")
+	}
+	b.Close()
+	before := m.Condition
+	for _, f := range b.cloud.hold {
+		f()
+	}
+	if m.Condition != before {
+		t.Fatalf("condition became %v after the term", m.Condition)
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -304,6 +304,9 @@
 // lose ends a term: nothing of its state may be used any more.
 func (c *Controller) lose(time.Duration) {
 	c.store.SetShare(c.share(followerPart))
+	if c.cap != nil {
+		c.cap.Close()
+	}
 	c.fleet, c.cap, c.loading = nil, nil, false
 	c.book.Recall()
 }
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -34,7 +34,6 @@
 	ready    time.Duration // has its image
 	started  time.Duration
 	run      time.Duration
-	stopAt   time.Duration
 	counted  bool // on the machine in the rules' sense
 	waitFrom time.Duration
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -70,7 +70,6 @@
 type check struct {
 	id      string
 	version uint64
-	again   bool
 	reply   func(Reply)
 	submit  bool // a repeated submission asks: the answer carries no counts
 }
