--- a/internal/fleet/preempt.go
+++ b/internal/fleet/preempt.go
@@ -16,8 +16,8 @@
 // missed; stopping others any earlier wastes their work for nothing.
 func (f *Fleet) canWait(now time.Duration, j *jobs.Job) float64 {
 	d, ok := f.due(now, j)
-	if !ok {
-		return patience
+	if !ok || f.within[j.Index] {
+		return patience // a guarantee is owed now
 	}
 	return max(patience, (d-now).Seconds()-patience)
 }
