Keep the inferred images over a takeover

Cause: after a crash the next owner knew only the images of what was running and placed single-task gangs on machines that had to fetch for 36 s. The hints are one key, written every 4 s at most.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -71,6 +71,11 @@
 
 	classes map[int32]*classStats
 
+	// hints are the caches that the owner before inferred, until their machines are heard.
+	hints       map[string][]cached
+	imagesDirty bool
+	imagesAt    time.Duration
+
 	writing bool
 	retry   func(time.Duration)
 	retryAt time.Duration
@@ -88,7 +93,8 @@
 // New starts a term at time now. Until Load has brought the durable plans nothing acts.
 func New(env Env, term uint64, now time.Duration) *Fleet {
 	f := &Fleet{Env: env, Term: term, since: now, byName: map[string]*Machine{}, rank: map[jobs.Index]int{},
-		within: map[jobs.Index]bool{}, classes: map[int32]*classStats{}, LastReport: now}
+		within: map[jobs.Index]bool{}, classes: map[int32]*classStats{}, LastReport: now,
+		hints: map[string][]cached{}}
 	f.Ledger = quota.New(env.Settings.Params.Teams, env.Book.Door.Teams.Index)
 	return f
 }
@@ -107,6 +113,7 @@
 	m := &Machine{Index: int32(len(f.machines)), Name: name, Type: jobs.None, Zone: jobs.None, Created: now,
 		Answered: now, Heard: now, IdleSince: now, On: map[Ref]struct{}{}, Lanes: map[jobs.Index][]int32{},
 		late: map[attempt]struct{}{}, slow: 1, Token: f.Term << tokenBits}
+	m.images = f.hints[name]
 	f.machines = append(f.machines, m)
 	f.byName[m.Name] = m
 	return m
@@ -157,6 +164,14 @@
 // running its task until a fenced report or the end of its lease says otherwise.
 func (f *Fleet) Load(now time.Duration, items []store.Item) {
 	for _, it := range items {
+		if it.Key == imagesKey {
+			f.loadImages(now, it)
+		}
+	}
+	for _, it := range items {
+		if it.Key == imagesKey {
+			continue
+		}
 		id, no, ok := splitPlanKey(it.Key)
 		j := f.Book.Get(id)
 		if !ok || j == nil || j.Stance == jobs.Done || j.Spec == nil {
@@ -233,6 +248,7 @@
 	f.Ledger.Take(j.Team, size)
 	j.ZoneUse[m.Zone]++
 	if ty := f.typ(m); ty != nil {
+		f.imagesDirty = f.imagesDirty || !m.HasImage(j.Image)
 		m.touchImage(j.Image, j.Spec.ImageGB, ty.CacheGB)
 	}
 	m.IdleSince = now
--- a/internal/fleet/guards_test.go
+++ b/internal/fleet/guards_test.go
@@ -327,3 +327,27 @@
 	}
 	t.Fatalf("conditions %v lack %v", seen, want)
 }
+
+// What machines have in their caches survives a takeover as a hint.
+func TestImagesSurviveATakeover(t *testing.T) {
+	kv := map[string]json.RawMessage{}
+	g := newRig(t, 1, kv)
+	g.hear("m", 1, fenced)
+	g.now = 10 * time.Second
+	g.submit(spec(1, 1))
+	g.settle(store.Committed)
+	g.hear("m", 1, fenced)
+	g.now += 10 * time.Second
+	g.settle(store.Committed)
+	if kv[imagesKey] == nil {
+		t.Fatal("no hints written")
+	}
+	n := newRig(t, 2, kv)
+	if m := n.Machine(0, "m"); !m.HasImage(n.Book.Door.Images.Index("i")) {
+		t.Fatal("the next owner does not know the image")
+	}
+	kv[imagesKey] = json.RawMessage(`{"images":["i"],"gb":[1],"on":{"m":[0,7,-1]}}`)
+	if m := newRig(t, 3, kv).Machine(0, "m"); len(m.images) != 1 {
+		t.Fatalf("images %v from a damaged hint", m.images)
+	}
+}
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -38,11 +38,19 @@
 		return true
 	}
 	f.collect(now, add)
-	if len(ops) == 0 {
+	hints := f.encodeImages(now)
+	if len(ops) == 0 && hints == nil {
 		f.sweep()
 		return
 	}
 	t := store.Txn{}
+	if hints != nil && len(ops) < f.TxnOps && bytes+len(hints) < 60<<10 && f.Room(len(ops)+1) {
+		f.imagesAt, f.imagesDirty = now, false
+		t.Then = append(t.Then, store.Op{Put: imagesKey, Value: hints})
+	}
+	if len(ops)+len(t.Then) == 0 {
+		return
+	}
 	for _, p := range ops {
 		v := p.job.Version
 		if p.chunk != nil {
@@ -97,6 +105,7 @@
 		f.Flush(now)
 		return
 	}
+	f.imagesDirty = true
 	slog.Debug("write failed", "outcome", r.Outcome.String(), "failed", r.Failed, "ops", len(ops), "term", f.Term)
 	if r.Outcome == store.NotDone || r.Outcome == store.NoHold {
 		f.writing = false
