Weigh the uncertain wait for room twice against a fetch when placing gangs

Cause: gangs waited for busy machines with the image because the estimates promised room sooner than a fetch would take; estimates are wrong by half.

--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -310,6 +310,11 @@
 	j.Touch(t, true, now)
 }
 
+// doubt weighs the wait for room against a fetch: when a task ends is an estimate that is
+// often wrong by half, while a fetch takes what it takes, and a gang that waits in vain has
+// lost the time for the fetch as well.
+const doubt = 2.0
+
 // prospect is when and how a machine could take a gang's task.
 type prospect struct {
 	m     *Machine
@@ -334,7 +339,7 @@
 	}
 	sort.SliceStable(ps, func(a, b int) bool {
 		x, y := ps[a], ps[b]
-		if d := (x.at + x.fetch) - (y.at + y.fetch); d < -1 || d > 1 {
+		if d := (doubt*x.at + x.fetch) - (doubt*y.at + y.fetch); d < -1 || d > 1 {
 			return d < 0
 		}
 		if x.m.Spot != y.m.Spot {
