Keep a job off a machine on which it failed

Issue asks for failed tasks to be retried elsewhere; until now a retry could land on the same machine.

--- a/internal/fleet/guards_test.go
+++ b/internal/fleet/guards_test.go
@@ -351,3 +351,36 @@
 		t.Fatalf("images %v from a damaged hint", m.images)
 	}
 }
+
+// A task that failed is retried elsewhere, after a pause, and what its job had planned on
+// the machine moves away with it.
+func TestFailedTasksRunElsewhere(t *testing.T) {
+	g := newRig(t, 1, map[string]json.RawMessage{})
+	g.hear("m", 1, fenced)
+	j := g.submit(spec(1, 6)) // four run, two wait in the lanes
+	g.settle(store.Committed)
+	cs := starts(g.hear("m", 1, fenced))
+	if len(cs) != 4 {
+		t.Fatalf("%d starts", len(cs))
+	}
+	failed := TaskReport{Task: cs[0].Task, Attempt: cs[0].Attempt, State: exited, Why: whyError}
+	alive := func() (out []TaskReport) {
+		for _, c := range cs[1:] {
+			out = append(out, TaskReport{Task: c.Task, Attempt: c.Attempt, State: running})
+		}
+		return out
+	}
+	g.hear("m", 1, fenced, append(alive(), failed)...)
+	g.hear("n", 1, fenced)
+	g.settle(store.Committed)
+	if again := starts(g.hear("m", 1, fenced, alive()...)); len(again) != 0 {
+		t.Fatalf("started %v on the machine that failed the job", again)
+	}
+	g.now += 5 * time.Second
+	g.hearNothing()
+	g.settle(store.Committed)
+	if other := starts(g.hear("n", 1, fenced)); len(other) != 1 || j.Spec.Tasks != 6 {
+		// The team's limit of 4 CPUs leaves room for one.
+		t.Fatalf("started %v on the other machine, want one", other)
+	}
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -40,7 +40,7 @@
 
 // allowed tells whether a job's task may be on a machine, given where its others are.
 func (f *Fleet) allowed(m *Machine, j *jobs.Job) bool {
-	if !j.Allows(m.Type, m.Zone, m.Spot) {
+	if !j.Allows(m.Type, m.Zone, m.Spot) || f.Now() < j.Avoid[m.Index] {
 		return false
 	}
 	if j.Spec.OneZone {
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -250,6 +250,7 @@
 	case whyError:
 		k.Fails = min(k.Fails+1, 6)
 		k.Until = now + time.Second<<k.Fails
+		f.avoid(now, m, j)
 		if m.errorJob != j.Index || m.errors == 0 {
 			m.errors++
 			m.errorJob = j.Index
@@ -259,6 +260,21 @@
 	}
 }
 
+// avoidFor is how long a job stays away from a machine on which it failed.
+const avoidFor = 60 * time.Second
+
+// avoid keeps a job off a machine on which one of its tasks failed.
+func (f *Fleet) avoid(now time.Duration, m *Machine, j *jobs.Job) {
+	if j.Avoid == nil {
+		j.Avoid = map[int32]time.Duration{}
+	}
+	j.Avoid[m.Index] = now + avoidFor
+	for _, t := range append([]int32(nil), m.Lanes[j.Index]...) {
+		f.dropLane(j, t)
+		f.must(j.Set(t, jobs.Unplanned))
+	}
+}
+
 // gangDone follows from one task of a gang being done: every one is. Those that may still
 // be on a machine count there until they are seen to be gone, since a task that is started
 // again after its gang was done is on its machine for a moment before it exits.
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -36,6 +36,10 @@
 	// ZoneUse counts, by dense zone, the tasks that may be on a machine there.
 	ZoneUse map[int32]int
 
+	// Avoid holds machines on which a task of the job failed, and until when they are
+	// avoided: mostly the machine is at fault, but a mistaken job fails on all.
+	Avoid map[int32]time.Duration
+
 	// GangDone tells that a task of the gang is done, and so all are.
 	GangDone bool
 
@@ -190,6 +194,7 @@
 	for _, j := range b.jobs {
 		j.Tasks, j.Chunks, j.Closing, j.Started, j.GangDone, j.Attempt = nil, nil, false, false, false, 0
 		clear(j.ZoneUse)
+		clear(j.Avoid)
 	}
 }
 
