--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -416,8 +416,15 @@
 	return best, true
 }
 
-// Rank orders the live jobs: priority first, then what lies within its team's guarantee,
-// then the latest start that still meets an aim; jobs past all aims come last, oldest
+// rankKey is a job's place among its equals: its latest useful start, and whether an aim
+// can still be met.
+type rankKey struct {
+	due time.Duration
+	ok  bool
+}
+
+// Rank orders the live jobs: what lies within its team's guarantee first, then by
+// priority, then the latest start that still meets an aim; jobs past all aims come last, oldest
 // first.
 func (f *Fleet) Rank(now time.Duration) {
 	f.ranked = now
@@ -435,11 +442,7 @@
 	})
 	demand := map[int32]planner.Size{}
 	clear(f.within)
-	type key struct {
-		due time.Duration
-		ok  bool
-	}
-	keys := make(map[jobs.Index]key, len(f.order))
+	keys := make(map[jobs.Index]rankKey, len(f.order))
 	for _, j := range f.order {
 		s := j.Spec.Size()
 		n := float64(j.N - j.DoneN)
@@ -447,26 +450,31 @@
 		demand[j.Team] = sum
 		f.within[j.Index] = f.Ledger.Within(j.Team, s, sum)
 		d, ok := f.due(now, j)
-		keys[j.Index] = key{d, ok}
+		keys[j.Index] = rankKey{d, ok}
 	}
-	sort.SliceStable(f.order, func(a, b int) bool {
-		x, y := f.order[a], f.order[b]
-		if x.Level != y.Level {
-			return x.Level > y.Level
-		}
+	f.sortByRank(f.order, keys)
+	clear(f.rank)
+	for i, j := range f.order {
+		f.rank[j.Index] = i
+	}
+}
+
+// sortByRank orders jobs among which equal ones keep their places.
+func (f *Fleet) sortByRank(js []*jobs.Job, keys map[jobs.Index]rankKey) {
+	sort.SliceStable(js, func(a, b int) bool {
+		x, y := js[a], js[b]
 		// What may preempt the other must also rank before it, or the room it made
 		// would be taken by its victims again.
 		if wx, wy := f.within[x.Index], f.within[y.Index]; wx != wy {
 			return wx
 		}
+		if x.Level != y.Level {
+			return x.Level > y.Level
+		}
 		kx, ky := keys[x.Index], keys[y.Index]
 		if kx.ok != ky.ok {
 			return kx.ok
 		}
 		return kx.due < ky.due
 	})
-	clear(f.rank)
-	for i, j := range f.order {
-		f.rank[j.Index] = i
-	}
 }
--- a/internal/fleet/guards_test.go
+++ b/internal/fleet/guards_test.go
@@ -384,3 +384,36 @@
 		t.Fatalf("started %v on the other machine, want one", other)
 	}
 }
+
+// What may preempt a job ranks before it, whatever their priorities and guarantees.
+func TestPreemptionFollowsRank(t *testing.T) {
+	g := newRig(t, 1, map[string]json.RawMessage{})
+	rng := rand.New(rand.NewPCG(6, 6))
+	for i := range 40 {
+		s := spec(i, 1)
+		s.Priority = []string{"prod", "urgent", "standard", "best_effort"}[rng.IntN(4)]
+		g.submit(s)
+	}
+	preempts := 0
+	for range 20 {
+		g.Rank(g.now)
+		for ix := range g.within {
+			g.within[ix] = rng.IntN(2) == 0
+		}
+		sorted := append([]*jobs.Job(nil), g.order...)
+		g.sortByRank(sorted, map[jobs.Index]rankKey{})
+		for a, x := range sorted {
+			for b, y := range sorted {
+				if g.mayPreempt(x, y) {
+					preempts++
+					if a > b {
+						t.Fatalf("%s may preempt %s, which ranks before it", x.ID, y.ID)
+					}
+				}
+			}
+		}
+	}
+	if preempts == 0 {
+		t.Fatal("nothing may preempt anything")
+	}
+}
--- a/internal/fleet/preempt.go
+++ b/internal/fleet/preempt.go
@@ -29,10 +29,15 @@
 	if j == victim || victim.Spec == nil || j.Spec == nil || (victim.Spec.Kind != jobs.Array && victim.N > 1) {
 		return false
 	}
-	if victim.Level < j.Level {
-		return true
+	// This order must be that of Rank: otherwise two jobs can stop each other for ever,
+	// each taking the room that the other made.
+	switch wj, wv := f.within[j.Index], f.within[victim.Index]; {
+	case wj == wv:
+		return victim.Level < j.Level
+	case wj:
+		return victim.Team != j.Team || victim.Level < j.Level
 	}
-	return f.within[j.Index] && victim.Team != j.Team && !f.within[victim.Index]
+	return false
 }
 
 // loss is the work that stopping a task would waste, in seconds.
