--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -155,12 +155,13 @@
 	toReturn  map[string]string        // name -> cause
 	gone      map[string]time.Duration // returned when: lagging lists may still show them
 	listedAt  time.Duration
+	zones     map[int32]int // acting machines by zone, when rent last looked
 }
 
 // New starts a manager for a term.
 func New(s *config.Settings, c *Cloud, f *fleet.Fleet, d *jobs.Door, types func() []MachineType, term uint64) *Manager {
 	return &Manager{Settings: s, Cloud: c, Fleet: f, Door: d, Types: types, Term: term,
-		boots: map[string]*boot{}, refused: map[offer]time.Duration{}, toReturn: map[string]string{}, gone: map[string]time.Duration{}}
+		boots: map[string]*boot{}, zones: map[int32]int{}, refused: map[offer]time.Duration{}, toReturn: map[string]string{}, gone: map[string]time.Duration{}}
 }
 
 // Close ends the manager with its term. Answers that come later find a fleet whose tasks
@@ -395,16 +396,15 @@
 // get to in time.
 const eager = 0.25
 
+// maxAsk is the protocol's bound on the machines of one request.
+const maxAsk = 50
+
 // bin is a machine, at hand or booting, with the work it can do within a horizon.
 type bin struct {
 	offer
 	room planner.Size // resource-seconds left
 }
 
-func times(s planner.Size, k float64) planner.Size {
-	return planner.Size{CPUs: s.CPUs * k, GPUs: s.GPUs * k, Mem: s.Mem * k}
-}
-
 // rent fits the unfinished work into the machines at hand, as resource-seconds over the
 // time that a new machine would need to become useful, and rents for what is left over.
 func (c *Manager) rent(now time.Duration) {
@@ -423,24 +423,28 @@
 	horizon *= eager
 	var bins []*bin
 	total := len(c.boots)
+	clear(c.zones)
 	for _, m := range c.Fleet.Machines() {
 		if m.Condition == fleet.Lost || m.Condition == fleet.Gone {
 			continue
 		}
 		total++
+		if m.Condition == fleet.Acting {
+			c.zones[m.Zone]++
+		}
 		if m.Condition == fleet.Noticed || m.Type == jobs.None || m.Size == (planner.Size{}) {
 			continue
 		}
-		b := &bin{offer{m.Type, m.Zone, m.Spot}, times(m.Size, horizon)}
+		b := &bin{offer{m.Type, m.Zone, m.Spot}, m.Size.Times(horizon)}
 		for _, u := range c.Fleet.Running(now, m) {
-			b.room = b.room.Sub(times(u.Size, min(u.Left, horizon)))
+			b.room = b.room.Sub(u.Size.Times(min(u.Left, horizon)))
 		}
 		bins = append(bins, b)
 	}
 	for _, bt := range c.boots {
 		// One that is far overdue is not counted on any more.
 		if t := c.typ(bt.typ); t != nil && now-bt.since < config.Seconds(2.2*t.BootS+10) {
-			bins = append(bins, &bin{bt.offer, times(t.Size(), horizon)})
+			bins = append(bins, &bin{bt.offer, t.Size().Times(horizon)})
 		}
 	}
 	wanted := map[offer]int{}
@@ -450,14 +454,15 @@
 		if d.Whole {
 			each = horizon
 		}
-		need := times(d.Job.Spec.Size(), each)
+		need := d.Job.Spec.Size().Times(each)
 		for _, b := range bins {
-			if left > 0 && d.Job.Allows(b.typ, b.zone, b.spot) {
+			if left == 0 {
+				break
+			}
+			if need.Fits(b.room) && d.Job.Allows(b.typ, b.zone, b.spot) {
 				n := min(left, need.Copies(b.room))
-				if n > 0 {
-					b.room = b.room.Sub(times(need, float64(n)))
-					left -= n
-				}
+				b.room = b.room.Sub(need.Times(float64(n)))
+				left -= n
 			}
 		}
 		for left > 0 && total < c.Settings.Operator.MaxMachines {
@@ -465,12 +470,12 @@
 			if !ok {
 				break
 			}
-			b := &bin{o, times(c.typ(o.typ).Size(), horizon)}
+			b := &bin{o, c.typ(o.typ).Size().Times(horizon)}
 			n := min(left, need.Copies(b.room))
 			if n <= 0 {
 				break
 			}
-			b.room = b.room.Sub(times(need, float64(n)))
+			b.room = b.room.Sub(need.Times(float64(n)))
 			left -= n
 			total++
 			bins = append(bins, b)
@@ -485,7 +490,7 @@
 		}
 	}
 	if n := wanted[best]; n > 0 {
-		c.ask(now, best, min(n, 20))
+		c.ask(now, best, min(n, maxAsk))
 		return
 	}
 	c.spare(now, total)
@@ -546,12 +551,6 @@
 // lately; where money does not count, cheap is still preferred.
 func (c *Manager) choose(now time.Duration, j *jobs.Job) (offer, bool) {
 	best, price, ok := offer{}, math.Inf(1), false
-	zones := map[int32]int{}
-	for _, m := range c.Fleet.Machines() {
-		if m.Condition == fleet.Acting {
-			zones[m.Zone]++
-		}
-	}
 	for _, t := range c.Types() {
 		n := j.Spec.Size().Copies(t.Size())
 		if n <= 0 {
@@ -571,7 +570,7 @@
 				}
 				// A task must not take a GPU machine it has no use for, and zones are
 				// filled evenly so that no single cut takes all.
-				per := p/float64(n) + 1e-6*float64(zones[zone])
+				per := p/float64(n) + 1e-6*float64(c.zones[zone])
 				if per < price {
 					best, price, ok = o, per, true
 				}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -215,7 +215,11 @@
 		o.Headroom = 0.1
 	}
 	if o.MaxMachines == 0 {
+		// Every machine takes a connection, and memory for its tasks and plans.
 		o.MaxMachines = 500
+		if l := s.Params.Limits; l.Sockets > 0 && l.MemMB > 0 {
+			o.MaxMachines = max(1, min(l.Sockets*6/10, int(l.MemMB*8)))
+		}
 	}
 	if o.NetworkFactor == 0 {
 		o.NetworkFactor = 1
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -30,10 +30,16 @@
 	typesKey = membership.Prefix + "types"
 )
 
-// The leader writes plans and reads more; the others share what is left.
+// leaderPart is the leader's part of the state service's rate: it writes the plans and
+// reads more. The others share what is left evenly, however many they are, so that all
+// together stay within the limit.
+const leaderPart = 0.6
+
+// Requests in flight: to the state service and the cloud, and to workers. The two don't
+// share slots, or workers that hang behind a cut would keep holds from being renewed.
 const (
-	leaderPart   = 0.5
-	followerPart = 0.2
+	serviceSlots = 48
+	workerSlots  = 64
 )
 
 // Controller is one process of the service.
@@ -41,7 +47,8 @@
 	s     *config.Settings
 	loop  *Loop
 	rng   *rand.Rand
-	send  httpio.Sender
+	send  httpio.Sender // to the state service and the cloud
+	wire  httpio.Sender // to workers
 	store *store.Client
 	mir   *store.Mirror
 	mem   *membership.Membership
@@ -88,11 +95,11 @@
 	_, _ = seed.Write([]byte(s.Node))
 	c := &Controller{s: s, loop: NewLoop(start), status: map[string]heard{}, byType: map[int32]*fleet.Type{},
 		rng: rand.New(rand.NewPCG(seed.Sum64(), uint64(start.UnixNano())))}
-	c.send = httpio.New(64, c.loop.Post)
-	c.store = store.New(s.Services.State, c.send, c.loop.Now, c.share(followerPart), s.Params.State.TxnOps)
+	c.send, c.wire = httpio.New(serviceSlots, c.loop.Post), httpio.New(workerSlots, c.loop.Post)
+	c.store = store.New(s.Services.State, c.send, c.loop.Now, c.share(false), s.Params.State.TxnOps)
 	c.book = jobs.NewBook(start.UnixMilli())
 	c.quota = quota.New(s.Params.Teams, c.book.Door.Teams.Index)
-	c.cloud = capacity.NewCloud(s.Services.Cloud, c.send, c.loop.Now, s.Params.Cloud.RPS*0.7)
+	c.cloud = capacity.NewCloud(s.Services.Cloud, c.send, c.loop.Now, s.Params.Cloud.RPS*0.9)
 	c.mir = store.NewMirror(c.store, hot)
 	c.mem = membership.New(membership.Config{Node: s.Node, Public: s.Public, TTL: s.HoldTTL(), Rng: c.rng,
 		OnLead: c.lead, OnLose: c.lose}, c.store, c.mir.Fresh)
@@ -105,7 +112,12 @@
 	return c
 }
 
-func (c *Controller) share(part float64) store.Share {
+// share is this controller's part of the state service's rate.
+func (c *Controller) share(leading bool) store.Share {
+	part := leaderPart
+	if others := len(c.s.Peers); !leading && others > 0 {
+		part = (1 - leaderPart) / float64(others)
+	}
 	return store.Share{RPS: c.s.Params.State.RPS * part, WriteRPS: c.s.Params.State.WriteRPS * part}
 }
 
@@ -272,7 +284,7 @@
 
 // lead starts a term.
 func (c *Controller) lead(now time.Duration, term uint64) {
-	c.store.SetShare(c.share(leaderPart))
+	c.store.SetShare(c.share(true))
 	c.book.Recall()
 	c.fleet = fleet.New(fleet.Env{
 		Settings: c.s, Book: c.book, Rng: c.rng, TxnOps: c.s.Params.State.TxnOps - 1, Now: c.loop.Now, Learned: c.learned,
@@ -303,7 +315,7 @@
 
 // lose ends a term: nothing of its state may be used any more.
 func (c *Controller) lose(time.Duration) {
-	c.store.SetShare(c.share(followerPart))
+	c.store.SetShare(c.share(false))
 	if c.cap != nil {
 		c.cap.Close()
 	}
@@ -315,7 +327,8 @@
 func (c *Controller) order(m *fleet.Machine, o fleet.Orders, done func(*fleet.Report, bool)) {
 	body, _ := json.Marshal(o)
 	f := c.fleet
-	c.send.Send(m.Addr, httpio.Request{Method: "POST", Path: "/orders", Body: body, Timeout: 2 * time.Second}, func(r httpio.Response) {
+	// One connection each: a large fleet's idle ones would use up the sockets.
+	c.wire.Send(m.Addr, httpio.Request{Method: "POST", Path: "/orders", Body: body, Timeout: 2 * time.Second, Once: true}, func(r httpio.Response) {
 		if c.fleet != f {
 			return
 		}
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -24,12 +24,7 @@
 		if j.Tasks == nil || j.Spec == nil || j.Stance.Terminal() {
 			continue
 		}
-		n := 0
-		for t := range j.Tasks {
-			if s := j.Tasks[t].State; s == jobs.Unplanned || s == jobs.Planned {
-				n++
-			}
-		}
+		n := j.Left()
 		if n == 0 {
 			continue
 		}
@@ -52,8 +47,11 @@
 	return out
 }
 
-// Running lists what is on a machine with its remaining time.
-func (f *Fleet) Running(now time.Duration, m *Machine) []planner.Work { return f.work(now, m, -1, nil) }
+// Running lists what is on a machine with its remaining time, until the next call.
+func (f *Fleet) Running(now time.Duration, m *Machine) []planner.Work {
+	f.works = f.work(f.works[:0], now, m, -1, nil)
+	return f.works
+}
 
 // Faulty tells whether a machine fails what runs on it: several jobs in a row.
 func (f *Fleet) Faulty(m *Machine) bool { return m.errors >= 2 }
@@ -90,11 +88,7 @@
 		size, use = size.Add(m.Size), use.Add(m.Use)
 	}
 	for _, j := range f.order {
-		for t := range j.Tasks {
-			if s := j.Tasks[t].State; s == jobs.Unplanned || s == jobs.Planned {
-				waiting++
-			}
-		}
+		waiting += j.Left()
 	}
 	slog.Info("fleet", "term", f.Term, "acting", acting, "other", other, "spot", spot, "idle", idle, "cpus", int(size.CPUs),
 		"cpus_used", int(use.CPUs), "gpus", int(size.GPUs), "gpus_used", int(use.GPUs), "jobs", len(f.order), "waiting", waiting)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,8 +9,10 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/harewalk/harewalk/internal/config"
@@ -64,6 +66,10 @@
 	byName   map[string]*Machine
 	Ledger   *quota.Ledger
 
+	// spread says, for each job with planned tasks, on which machines they wait and how
+	// many: planning looks at those instead of at the whole fleet.
+	spread map[jobs.Index]map[int32]int
+
 	order  []*jobs.Job // live jobs by rank
 	rank   map[jobs.Index]int
 	within map[jobs.Index]bool
@@ -71,10 +77,21 @@
 
 	classes map[int32]*classStats
 
+	pass     pass
+	nextPass time.Duration
+	// Steps counts the work of planning, in looks at a machine, lane or task. It paces the
+	// passes, and tests bound it.
+	Steps  uint64
+	ixs    []jobs.Index                 // scratch
+	works  []planner.Work               // scratch
+	news   bool                         // a plan became durable since the last push
+	barren map[jobs.Index]time.Duration // arrays for which no machine was found, until when
+
 	// hints are the caches that the owner before inferred, until their machines are heard.
-	hints       map[string][]cached
-	imagesDirty bool
-	imagesAt    time.Duration
+	hints    map[string][]cached
+	shards   []bool // hints that have changed since they were written
+	shard    int    // written last
+	imagesAt time.Duration
 
 	writing bool
 	retry   func(time.Duration)
@@ -94,7 +111,7 @@
 func New(env Env, term uint64, now time.Duration) *Fleet {
 	f := &Fleet{Env: env, Term: term, since: now, byName: map[string]*Machine{}, rank: map[jobs.Index]int{},
 		within: map[jobs.Index]bool{}, classes: map[int32]*classStats{}, LastReport: now,
-		hints: map[string][]cached{}}
+		hints: map[string][]cached{}, spread: map[jobs.Index]map[int32]int{}, barren: map[jobs.Index]time.Duration{}}
 	f.Ledger = quota.New(env.Settings.Params.Teams, env.Book.Door.Teams.Index)
 	return f
 }
@@ -164,12 +181,12 @@
 // running its task until a fenced report or the end of its lease says otherwise.
 func (f *Fleet) Load(now time.Duration, items []store.Item) {
 	for _, it := range items {
-		if it.Key == imagesKey {
+		if strings.HasPrefix(it.Key, imagesKey) {
 			f.loadImages(now, it)
 		}
 	}
 	for _, it := range items {
-		if it.Key == imagesKey {
+		if strings.HasPrefix(it.Key, imagesKey) {
 			continue
 		}
 		id, no, ok := splitPlanKey(it.Key)
@@ -245,10 +262,13 @@
 	size := j.Spec.Size()
 	m.On[Ref{j.Index, t}] = struct{}{}
 	m.Use = m.Use.Add(size)
+	m.endsOK = false
 	f.Ledger.Take(j.Team, size)
 	j.ZoneUse[m.Zone]++
 	if ty := f.typ(m); ty != nil {
-		f.imagesDirty = f.imagesDirty || !m.HasImage(j.Image)
+		if !m.HasImage(j.Image) {
+			f.newImage(m)
+		}
 		m.touchImage(j.Image, j.Spec.ImageGB, ty.CacheGB)
 	}
 	m.IdleSince = now
@@ -268,6 +288,7 @@
 	size := j.Spec.Size()
 	delete(m.On, Ref{j.Index, t})
 	m.Use = m.Use.Sub(size)
+	m.endsOK = false
 	if len(m.On) == 0 {
 		m.Use = planner.Size{} // decimals leave dust
 		m.IdleSince = now
@@ -285,7 +306,43 @@
 // lane queues a planned task at its machine.
 func (f *Fleet) lane(m *Machine, j *jobs.Job, t int32) {
 	m.Lanes[j.Index] = append(m.Lanes[j.Index], t)
+	at := f.spread[j.Index]
+	if at == nil {
+		at = map[int32]int{}
+		f.spread[j.Index] = at
+	}
+	at[m.Index]++
 	m.Planned++
+	size := j.Spec.Size()
+	m.need = m.need.Add(size)
+	if j.Spec.Kind != jobs.Array {
+		m.whole = m.whole.Add(size)
+	}
+}
+
+// unqueue keeps the books when n of a job's tasks leave a machine's lanes.
+func (f *Fleet) unqueue(m *Machine, j *jobs.Job, n int) {
+	if at := f.spread[j.Index]; at != nil {
+		if at[m.Index] -= n; at[m.Index] <= 0 {
+			delete(at, m.Index)
+		}
+		if len(at) == 0 {
+			delete(f.spread, j.Index)
+		}
+	}
+	if len(m.Lanes[j.Index]) == 0 {
+		delete(m.Lanes, j.Index)
+	}
+	m.Planned -= n
+	if m.Planned == 0 {
+		m.need, m.whole = planner.Size{}, planner.Size{} // decimals leave dust
+		return
+	}
+	size := j.Spec.Size().Times(float64(n))
+	m.need = m.need.Sub(size)
+	if j.Spec.Kind != jobs.Array {
+		m.whole = m.whole.Sub(size)
+	}
 }
 
 // unlane empties a machine's lanes: its planned tasks are to be planned anew.
@@ -297,9 +354,29 @@
 				f.must(j.Set(t, jobs.Unplanned))
 			}
 		}
+		delete(m.Lanes, ix)
+		f.unqueue(m, j, len(ts))
+	}
+}
+
+// waitsAt lists the machines on which a job's planned tasks wait, in a fixed order.
+func (f *Fleet) waitsAt(j *jobs.Job) []int32 {
+	at := f.spread[j.Index]
+	out := make([]int32, 0, len(at))
+	for m := range at {
+		out = append(out, m)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// halt marks a task that is to be stopped.
+func (f *Fleet) halt(j *jobs.Job, t int32) {
+	k := &j.Tasks[t]
+	k.Halting = true
+	if k.Machine != jobs.None {
+		f.machines[k.Machine].halts = true
 	}
-	clear(m.Lanes)
-	m.Planned = 0
 }
 
 func (f *Fleet) job(ix jobs.Index) *jobs.Job { return f.Book.At(ix) }
@@ -320,19 +397,19 @@
 		return
 	}
 	slog.Info("job ended", "job", j.ID, "stance", j.Stance.String(), "term", f.Term)
+	for _, ix := range f.waitsAt(j) {
+		m := f.machines[ix]
+		n := len(m.Lanes[j.Index])
+		delete(m.Lanes, j.Index)
+		f.unqueue(m, j, n)
+	}
 	for t := range j.Tasks {
 		k := &j.Tasks[t]
 		switch {
 		case k.State == jobs.Planned:
 			f.must(j.Set(int32(t), jobs.Unplanned))
 		case k.State.Occupies():
-			k.Halting = true
-		}
-	}
-	for _, m := range f.machines {
-		if ts, ok := m.Lanes[j.Index]; ok {
-			m.Planned -= len(ts)
-			delete(m.Lanes, j.Index)
+			f.halt(j, int32(t))
 		}
 	}
 }
--- a/internal/fleet/guards_test.go
+++ b/internal/fleet/guards_test.go
@@ -31,6 +31,7 @@
 	s := &config.Settings{}
 	s.Params.Teams = []config.Team{{Name: "t", CPUsMax: 4}}
 	s.Params.Workers = config.Workers{ReportS: 3, LeaseS: 20, GangWaitS: 20, GangPeerS: 5, CancelS: 40}
+	s.Params.State.ValueKB = 8
 	s.Operator.NetworkFactor = 1
 	book := jobs.NewBook(0)
 	var plans []store.Item
@@ -339,14 +340,14 @@
 	g.hear("m", 1, fenced)
 	g.now += 10 * time.Second
 	g.settle(store.Committed)
-	if kv[imagesKey] == nil {
+	if kv[imagesKey+"/0"] == nil {
 		t.Fatal("no hints written")
 	}
 	n := newRig(t, 2, kv)
 	if m := n.Machine(0, "m"); !m.HasImage(n.Book.Door.Images.Index("i")) {
 		t.Fatal("the next owner does not know the image")
 	}
-	kv[imagesKey] = json.RawMessage(`{"images":["i"],"gb":[1],"on":{"m":[0,7,-1]}}`)
+	kv[imagesKey+"/0"] = json.RawMessage(`{"images":["i"],"gb":[1],"on":{"m":[0,7,-1]}}`)
 	if m := newRig(t, 3, kv).Machine(0, "m"); len(m.images) != 1 {
 		t.Fatalf("images %v from a damaged hint", m.images)
 	}
--- a/internal/fleet/images.go
+++ b/internal/fleet/images.go
@@ -8,15 +8,16 @@
 	"github.com/harewalk/harewalk/internal/store"
 )
 
-// imagesKey is where the inferred caches are kept for the next owner. They are hints: a
-// wrong or lost one costs a fetch, so the key has no condition but the leader's.
+// imagesKey begins the keys under which the inferred caches are kept for the next owner.
+// They are hints: a wrong or lost one costs a fetch, so the keys have no condition but the
+// leader's.
 const imagesKey = jobs.PlanPrefix + "images"
 
 // imagesEvery spaces the writes of the hints.
 const imagesEvery = 4 * time.Second
 
-// maxImages bounds the value in bytes.
-const maxImages = 7 << 10
+// shardMachines is how many machines share one key: a large fleet's hints outgrow a value.
+const shardMachines = 128
 
 // imageHints is the stored form: machines point at images by place, least recent first.
 type imageHints struct {
@@ -25,26 +26,46 @@
 	Machines map[string][]int32 `json:"on"`
 }
 
-// encodeImages writes the hints, or nil if they are not due.
-func (f *Fleet) encodeImages(now time.Duration) json.RawMessage {
-	if !f.imagesDirty || now-f.imagesAt < imagesEvery {
-		return nil
+// nextShard is the shard of hints that is due to be written, or -1.
+func (f *Fleet) nextShard(now time.Duration) int {
+	if now-f.imagesAt < imagesEvery {
+		return -1
 	}
+	for i := range f.shards {
+		if k := (f.shard + 1 + i) % len(f.shards); f.shards[k] {
+			return k
+		}
+	}
+	return -1
+}
+
+// newImage notes that a machine's inferred cache has changed.
+func (f *Fleet) newImage(m *Machine) {
+	k := int(m.Index) / shardMachines
+	for len(f.shards) <= k {
+		f.shards = append(f.shards, false)
+	}
+	f.shards[k] = true
+}
+
+// encodeImages writes a shard of the hints, as far as they fit a value.
+func (f *Fleet) encodeImages(shard int) json.RawMessage {
+	limit := int(f.Settings.Params.State.ValueKB*1024) * 7 / 8
 	h := imageHints{Machines: map[string][]int32{}}
 	at := map[int32]int32{}
 	size := 100
-	for _, m := range f.machines {
+	for _, m := range f.machines[shard*shardMachines : min(len(f.machines), (shard+1)*shardMachines)] {
 		if m.Condition == Gone || m.Condition == Lost || len(m.images) == 0 {
 			continue
 		}
-		if size += len(m.Name) + 6 + 4*len(m.images); size > maxImages {
+		if size += len(m.Name) + 6 + 4*len(m.images); size > limit {
 			break
 		}
 		for _, c := range m.images {
 			i, ok := at[c.image]
 			if !ok {
 				name := f.Book.Door.Images.Name(c.image)
-				if size += len(name) + 12; size > maxImages {
+				if size += len(name) + 12; size > limit {
 					break
 				}
 				i = int32(len(h.Images))
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -70,9 +70,20 @@
 	Size planner.Size
 	Use  planner.Size // by tasks that may be here
 	On   map[Ref]struct{}
-	// Lanes holds the planned, not yet started tasks by job.
-	Lanes   map[jobs.Index][]int32
-	Planned int
+	// Lanes holds the planned, not yet started tasks by job. Planned is their number, need
+	// what they would take if all started, and whole the part of it that gangs and
+	// services take. Fleet.lane and Fleet.unqueue keep the three in step.
+	Lanes       map[jobs.Index][]int32
+	Planned     int
+	need, whole planner.Size
+
+	// ends says when what is on the machine is expected to end, earliest first. It is made
+	// when it is asked for and counts until the machine changes, or for endsFor.
+	ends   []end
+	endsAt time.Duration
+	endsOK bool
+
+	halts bool // some task here may have to be stopped by a direct command
 
 	images []cached // most recently used last
 
@@ -92,6 +103,13 @@
 	slow     float64 // run time against what was expected, smoothed; 1 is normal
 }
 
+// end is the expected end of a task on a machine.
+type end struct {
+	Ref
+	at   time.Duration
+	size planner.Size
+}
+
 // tokenBits is the room for fences within a term.
 const tokenBits = 20
 
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -583,6 +583,7 @@
 	w.settings = &config.Settings{}
 	w.settings.Params.Teams = []config.Team{{Name: "t0", CPUs: 4, CPUsMax: 14}, {Name: "t1", CPUs: 4, CPUsMax: 14}}
 	w.settings.Params.Workers = config.Workers{ReportS: 1.5, LeaseS: 10, GangWaitS: 8, GangPeerS: 2, CancelS: 30}
+	w.settings.Params.State.ValueKB = 8
 	w.settings.Operator.NetworkFactor = 1
 	for i := range 7 {
 		wk := &worker{name: fmt.Sprintf("i-%03d", i), typ: "cpu", zone: []string{"a", "b"}[i%2], spot: i%3 == 2,
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -1,7 +1,12 @@
 package fleet
 
 import (
+	"cmp"
+	"container/heap"
+	"encoding/binary"
 	"log/slog"
+	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -12,11 +17,27 @@
 
 // Bounds on the work of one pass, so that no job however large stalls the loop.
 const (
-	planSlice  = 1024 // tasks planned at once
-	reduceLoop = 256  // loops of reduce at once
-	manyWork   = 64   // planned tasks read one by one into lane loads
+	planSlice  = 1024    // tasks planned at once
+	reduceWork = 400_000 // lanes looked at by the loops of reduce, together
+	reduceLoop = 256     // loops of reduce at once
+	manyWork   = 64      // planned tasks read one by one into lane loads
+	arraySteps = 40_000  // steps for planning arrays before the rest waits for the next pass
+	searches   = 8       // preemptions for gangs
 )
 
+// endsFor is how long expected ends are used before they are estimated anew.
+const endsFor = time.Second
+
+// pass is what one pass of planning remembers.
+type pass struct {
+	fields map[shape]*field
+	vain   map[plea]bool // preemption was tried for the like and nothing was found
+	tries  int           // preemptions that were tried
+	lowest int           // the lowest priority of any live job
+	packed []*Machine    // see Fleet.packed
+	began  uint64        // Steps at the start
+}
+
 // fits tells whether one more task of a job has room on a machine now.
 func (f *Fleet) fits(m *Machine, j *jobs.Job) bool {
 	s := j.Spec.Size()
@@ -26,7 +47,7 @@
 	}
 	if j.Spec.Kind == jobs.Array {
 		// Gangs already planned here wait only for their plan to be durable.
-		free = free.Sub(f.waitingHere(m))
+		free = free.Sub(m.whole)
 	}
 	return s.Fits(free)
 }
@@ -40,7 +61,7 @@
 
 // allowed tells whether a job's task may be on a machine, given where its others are.
 func (f *Fleet) allowed(m *Machine, j *jobs.Job) bool {
-	if !j.Allows(m.Type, m.Zone, m.Spot) || f.Now() < j.Avoid[m.Index] {
+	if !j.Allows(m.Type, m.Zone, m.Spot) || (len(j.Avoid) > 0 && f.Now() < j.Avoid[m.Index]) {
 		return false
 	}
 	if j.Spec.OneZone {
@@ -89,10 +110,14 @@
 	if m.Condition != Acting || m.Retiring || m.Planned == 0 {
 		return nil
 	}
-	ixs := make([]jobs.Index, 0, len(m.Lanes))
+	ixs := f.ixs[:0]
 	for ix := range m.Lanes {
-		ixs = append(ixs, ix)
+		if j := f.job(ix); j.Spec.Kind == jobs.Gang || f.fits(m, j) {
+			ixs = append(ixs, ix)
+		}
 	}
+	f.ixs = ixs
+	f.Steps += uint64(len(m.Lanes))
 	sort.Slice(ixs, func(a, b int) bool { return f.rankOf(f.job(ixs[a])) < f.rankOf(f.job(ixs[b])) })
 	for _, ix := range ixs {
 		j := f.job(ix)
@@ -111,13 +136,11 @@
 				keep = append(keep, t)
 				continue
 			}
-			m.Planned--
 			out = append(out, f.launch(now, m, j, t, f.nextAttempt()))
 		}
-		if len(keep) == 0 {
-			delete(m.Lanes, ix)
-		} else {
+		if n := len(ts) - len(keep); n > 0 {
 			m.Lanes[ix] = keep
+			f.unqueue(m, j, n)
 		}
 	}
 	return out
@@ -158,36 +181,60 @@
 	return out
 }
 
-// work lists what loads a machine: what is on it, then what is planned there and ranks
-// before the job. Work that the job may preempt hardly counts.
-func (f *Fleet) work(now time.Duration, m *Machine, rank int, over *jobs.Job) []planner.Work {
-	var ws []planner.Work
-	refs := make([]Ref, 0, len(m.On))
-	for r := range m.On {
-		refs = append(refs, r)
+// endsOf says when what is on a machine is expected to end, earliest first.
+func (f *Fleet) endsOf(now time.Duration, m *Machine) []end {
+	if m.endsOK && now-m.endsAt < endsFor {
+		return m.ends
 	}
-	sortRefs(refs)
-	for _, r := range refs {
+	m.ends, m.endsAt, m.endsOK = m.ends[:0], now, true
+	for r := range m.On {
 		j := f.job(r.Job)
 		left := 1.0
-		if !j.Stance.Terminal() && (over == nil || !f.mayPreempt(over, j)) {
+		if !j.Stance.Terminal() {
 			left = f.left(now, j, r.Task)
 		}
-		ws = append(ws, planner.Work{Size: j.Spec.Size(), Left: left})
+		m.ends = append(m.ends, end{r, now + config.Seconds(left), j.Spec.Size()})
 	}
-	for _, j := range f.order {
-		ts := m.Lanes[j.Index]
-		if len(ts) == 0 || f.rankOf(j) > rank {
-			continue
+	f.Steps += uint64(len(m.ends))
+	slices.SortFunc(m.ends, func(a, b end) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task))
+	})
+	return m.ends
+}
+
+// work lists what loads a machine: what is on it, then what is planned there and ranks
+// before the job. Work that the job may preempt hardly counts.
+func (f *Fleet) work(ws []planner.Work, now time.Duration, m *Machine, rank int, over *jobs.Job) []planner.Work {
+	for _, e := range f.endsOf(now, m) {
+		left := max(1, (e.at - now).Seconds())
+		if over != nil && f.mayPreempt(over, f.job(e.Job)) {
+			left = 1
 		}
+		ws = append(ws, planner.Work{Size: e.size, Left: left})
+	}
+	f.Steps += uint64(len(m.ends))
+	if rank < 0 || len(m.Lanes) == 0 {
+		return ws
+	}
+	ixs := f.ixs[:0]
+	for ix := range m.Lanes {
+		if f.rankOf(f.job(ix)) <= rank {
+			ixs = append(ixs, ix)
+		}
+	}
+	f.ixs = ixs
+	slices.SortFunc(ixs, func(a, b jobs.Index) int { return cmp.Compare(f.rankOf(f.job(a)), f.rankOf(f.job(b))) })
+	f.Steps += uint64(len(ixs))
+	for _, ix := range ixs {
+		j, n := f.job(ix), len(m.Lanes[ix])
 		est := f.estimate(j) * m.slow
-		if len(ts) > manyWork {
-			if n := j.Spec.Size().Copies(m.Size); n > 0 {
-				ws = append(ws, planner.Work{Size: m.Size, Left: est * float64(len(ts)) / float64(n)})
+		if n > manyWork {
+			if c := j.Spec.Size().Copies(m.Size); c > 0 {
+				ws = append(ws, planner.Work{Size: m.Size, Left: est * float64(n) / float64(c)})
 			}
 			continue
 		}
-		for range ts {
+		for range n {
 			ws = append(ws, planner.Work{Size: j.Spec.Size(), Left: est})
 		}
 	}
@@ -197,6 +244,9 @@
 // planArray plans an array's unplanned tasks by Balance-Reduce over the lanes of all
 // machines that may take them.
 func (f *Fleet) planArray(now time.Duration, j *jobs.Job) {
+	if j.In[jobs.Unplanned] == 0 || now < f.barren[j.Index] || f.Steps-f.pass.began > arraySteps {
+		return
+	}
 	var tasks []int32
 	for t := range j.Tasks {
 		if k := &j.Tasks[t]; k.State == jobs.Unplanned && k.Until <= now {
@@ -208,19 +258,21 @@
 	if len(tasks) == 0 {
 		return
 	}
-	p := &planner.Problem{Local: f.estimate(j), MaxLoop: reduceLoop}
+	p := &planner.Problem{Local: f.estimate(j)}
 	var lane []int32 // machine of each server
 	var prefer, all []int32
 	size := j.Spec.Size()
 	hosts := 0
 	fetch := 0.0
 	zone := f.oneZone(j)
+	rank := f.rankOf(j)
 	for _, m := range f.packed() {
 		if m.Condition != Acting || m.Retiring || !f.allowed(m, j) || (zone != jobs.None && m.Zone != zone) {
 			continue
 		}
-		loads := planner.Lanes(m.Size, size, f.work(now, m, f.rankOf(j), j))
-		if len(loads) == 0 {
+		f.works = f.work(f.works[:0], now, m, rank, j)
+		p.Initial = planner.Lanes(p.Initial, m.Size, size, f.works)
+		if len(p.Initial) == len(lane) {
 			continue
 		}
 		hosts++
@@ -228,10 +280,9 @@
 		if ty := f.typ(m); ty != nil && ty.FetchGB > 0 {
 			fetch = max(fetch, j.Spec.ImageGB/ty.FetchGB)
 		}
-		for _, l := range loads {
+		for len(lane) < len(p.Initial) {
 			s := int32(len(lane))
 			lane = append(lane, m.Index)
-			p.Initial = append(p.Initial, l)
 			all = append(all, s)
 			if has {
 				prefer = append(prefer, s)
@@ -239,8 +290,13 @@
 		}
 	}
 	if len(lane) == 0 {
+		f.barren[j.Index] = now + 500*time.Millisecond
 		return
 	}
+	delete(f.barren, j.Index)
+	f.Steps += uint64(4 * len(lane))
+	// A loop looks at every lane, so many lanes allow fewer loops.
+	p.MaxLoop = min(reduceLoop, max(16, reduceWork/len(lane)))
 	if len(prefer) == 0 {
 		prefer = all
 	}
@@ -266,15 +322,28 @@
 
 // packed orders the machines for planning: between equally loaded lanes the planner takes
 // the first, so spot machines, which fewer jobs can use, and machines in use come first and
-// others stay free to be returned.
+// others stay free to be returned. The order is kept for the pass.
 func (f *Fleet) packed() []*Machine {
-	ms := append([]*Machine(nil), f.machines...)
-	sort.SliceStable(ms, func(a, b int) bool {
-		if ms[a].Spot != ms[b].Spot {
-			return ms[a].Spot
+	if f.pass.packed != nil {
+		return f.pass.packed
+	}
+	ms := make([]*Machine, 0, len(f.machines))
+	for _, m := range f.machines {
+		if m.Condition == Acting && !m.Retiring {
+			ms = append(ms, m)
+		}
+	}
+	slices.SortStableFunc(ms, func(a, b *Machine) int {
+		if a.Spot != b.Spot {
+			if a.Spot {
+				return -1
+			}
+			return 1
 		}
-		return len(ms[a].On) > len(ms[b].On)
+		return cmp.Compare(len(b.On), len(a.On))
 	})
+	f.Steps += uint64(2 * len(ms))
+	f.pass.packed = ms
 	return ms
 }
 
@@ -320,6 +389,62 @@
 	m     *Machine
 	at    float64 // seconds until room
 	fetch float64
+	score float64
+}
+
+// shape is what jobs have in common that may use the same machines equally well.
+type shape struct {
+	size  planner.Size
+	image int32
+	zone  int32
+	spot  bool
+	types string
+}
+
+// field lists the machines that may take tasks of a shape, best first, as they were when
+// the pass first looked. Placing only takes room away during a pass, so what did not fit
+// once is passed over for good.
+type field struct {
+	ps      []prospect
+	next    int           // before it no prospect has room any more
+	open    []int         // those that had room
+	claimed map[int32]int // by zone, None for any: how far claims have got
+}
+
+// plea is what jobs have in common for which the same tasks may be preempted.
+type plea struct {
+	shape
+	team   int32
+	level  int
+	within bool
+}
+
+func shapeOf(j *jobs.Job) shape {
+	types := make([]byte, 0, 4*len(j.Types))
+	for _, t := range j.Types {
+		types = binary.LittleEndian.AppendUint32(types, uint32(t))
+	}
+	return shape{j.Spec.Size(), j.Image, j.Zone, j.Spec.Spot, string(types)}
+}
+
+// field finds or makes the list of machines for a job. Jobs that must keep off some
+// machine, or away from their own tasks, have a list of their own.
+func (f *Fleet) field(now time.Duration, j *jobs.Job) *field {
+	common := len(j.Avoid) == 0 && j.On() == 0
+	key := shapeOf(j)
+	if fd := f.pass.fields[key]; common && fd != nil {
+		return fd
+	}
+	fd := &field{ps: f.prospects(now, j), claimed: map[int32]int{}}
+	for i, p := range fd.ps {
+		if p.at == 0 {
+			fd.open = append(fd.open, i)
+		}
+	}
+	if common {
+		f.pass.fields[key] = fd
+	}
+	return fd
 }
 
 // prospects lists the machines that may take a job, best first: earliest start, then the
@@ -327,159 +452,169 @@
 func (f *Fleet) prospects(now time.Duration, j *jobs.Job) []prospect {
 	var ps []prospect
 	size := j.Spec.Size()
-	for _, m := range f.machines {
-		if m.Condition != Acting || m.Retiring || !f.allowed(m, j) || !size.Fits(m.Size) {
+	for _, m := range f.packed() {
+		if m.Condition != Acting || m.Retiring || !size.Fits(m.Size) || !f.allowed(m, j) {
 			continue
 		}
 		p := prospect{m: m, fetch: f.fetchS(j, m)}
 		if !f.fits(m, j) {
 			p.at = f.freeIn(now, m, j)
 		}
+		// Differences below a second are none.
+		p.score = math.Floor(doubt*p.at + p.fetch)
 		ps = append(ps, p)
 	}
-	sort.SliceStable(ps, func(a, b int) bool {
-		x, y := ps[a], ps[b]
-		if d := (doubt*x.at + x.fetch) - (doubt*y.at + y.fetch); d < -1 || d > 1 {
-			return d < 0
+	f.Steps += uint64(len(f.machines) + 4*len(ps))
+	slices.SortStableFunc(ps, func(x, y prospect) int {
+		if x.score != y.score {
+			return cmp.Compare(x.score, y.score)
 		}
 		if x.m.Spot != y.m.Spot {
-			return x.m.Spot
-		}
-		if gx, gy := x.m.Free().GPUs, y.m.Free().GPUs; gx != gy {
-			return gx < gy
+			if x.m.Spot {
+				return -1
+			}
+			return 1
 		}
-		return x.m.Free().CPUs < y.m.Free().CPUs
+		a, b := x.m.Free(), y.m.Free()
+		return cmp.Or(cmp.Compare(a.GPUs, b.GPUs), cmp.Compare(a.CPUs, b.CPUs), cmp.Compare(x.m.Index, y.m.Index))
 	})
 	return ps
 }
 
 // freeIn estimates when a machine will have room for a task of a job.
 func (f *Fleet) freeIn(now time.Duration, m *Machine, j *jobs.Job) float64 {
-	type end struct {
-		at   float64
-		size planner.Size
-	}
-	var ends []end
-	for r := range m.On {
-		o := f.job(r.Job)
-		left := 1.0
-		if !o.Stance.Terminal() {
-			left = f.left(now, o, r.Task)
-		}
-		ends = append(ends, end{left, o.Spec.Size()})
-	}
-	sort.Slice(ends, func(a, b int) bool { return ends[a].at < ends[b].at })
 	free := m.Free()
 	if m.claimRank < f.rankOf(j) {
 		free = free.Sub(m.claim)
 	}
-	for _, e := range ends {
+	size := j.Spec.Size()
+	for _, e := range f.endsOf(now, m) {
 		free = free.Add(e.size)
-		if j.Spec.Size().Fits(free) {
-			return e.at
+		if size.Fits(free) {
+			return max(1, (e.at - now).Seconds())
 		}
 	}
 	return 1e6
 }
 
+// room is what a job may take of a machine now: not what is claimed by those that rank
+// before it, nor what gangs planned there will take.
+func (f *Fleet) room(m *Machine, j *jobs.Job) planner.Size {
+	free := m.Free().Sub(m.whole)
+	if m.claimRank < f.rankOf(j) {
+		free = free.Sub(m.claim)
+	}
+	return free
+}
+
 // placeGang places an unplanned gang whole, or claims the machines that will have room
 // first so that lower ranks don't keep taking what frees up.
 func (f *Fleet) placeGang(now time.Duration, j *jobs.Job) {
+	if j.In[jobs.Unplanned] < j.N {
+		return // still here, finished, or some of it not gone yet
+	}
 	for t := range j.Tasks {
-		k := &j.Tasks[t]
-		if k.State != jobs.Unplanned || k.Until > now {
-			return // still here, finished, or some of it not gone yet
+		if j.Tasks[t].Until > now {
+			return
 		}
 	}
-	size := j.Spec.Size()
-	ps := f.prospects(now, j)
-	if len(ps) == 0 {
+	if !f.Ledger.Fits(j.Team, j.Spec.Size(), j.N) {
 		return
 	}
-	if f.Ledger.Fits(j.Team, size, j.N) {
-		hosts := make([]planner.Host, 0, len(ps))
-		for _, p := range ps {
-			if p.at > 0 {
-				if j.N == 1 {
-					break // a busy machine that has the image is the better choice
-				}
-				continue
-			}
-			free := p.m.Free()
-			if p.m.claimRank < f.rankOf(j) {
-				free = free.Sub(p.m.claim)
-			}
-			hosts = append(hosts, planner.Host{ID: p.m.Index, Zone: p.m.Zone, Free: free.Sub(f.waitingHere(p.m))})
-		}
-		if got := planner.FirstFit(hosts, size, j.N, j.Spec.OneZone, j.Spec.ZoneLimit()); got != nil {
-			for t, ix := range got {
-				f.plan(now, j, int32(t), f.machines[ix])
-			}
-			return
-		}
-	} else {
+	fd := f.field(now, j)
+	if len(fd.ps) == 0 || f.placeIn(now, j, fd) {
 		return
 	}
-	if j.N == 1 && ps[0].at+ps[0].fetch > f.canWait(now, j) && f.preemptFor(now, j, ps) {
+	if j.N == 1 && fd.ps[0].at+fd.ps[0].fetch > f.canWait(now, j) && f.preemptFor(now, j, fd.ps) {
 		return
 	}
-	n := 0
-	for _, p := range ps {
-		if j.Spec.OneZone && p.m.Zone != ps[0].m.Zone {
-			continue
-		}
-		if p.m.claimRank > f.rankOf(j) || p.m.claim == (planner.Size{}) {
-			p.m.claim, p.m.claimRank = size, f.rankOf(j)
-			n++
+	f.claim(j, fd)
+}
+
+// placeIn plans a gang on machines that have room now.
+func (f *Fleet) placeIn(now time.Duration, j *jobs.Job, fd *field) bool {
+	size := j.Spec.Size()
+	if j.N == 1 {
+		for ; fd.next < len(fd.ps) && fd.ps[fd.next].at == 0; fd.next++ {
+			if m := fd.ps[fd.next].m; size.Fits(f.room(m, j)) {
+				f.plan(now, j, 0, m)
+				return true
+			}
 		}
-		if n >= j.N {
-			return
+		return false // a busy machine that has the image is the better choice
+	}
+	hosts := make([]planner.Host, 0, len(fd.open))
+	keep := fd.open[:0]
+	for _, i := range fd.open {
+		m := fd.ps[i].m
+		if room := f.room(m, j); size.Fits(room) {
+			keep = append(keep, i)
+			hosts = append(hosts, planner.Host{ID: m.Index, Zone: m.Zone, Free: room})
 		}
 	}
+	fd.open = keep
+	f.Steps += uint64(len(hosts))
+	got := planner.FirstFit(hosts, size, j.N, j.Spec.OneZone, j.Spec.ZoneLimit())
+	for t, ix := range got {
+		f.plan(now, j, int32(t), f.machines[ix])
+	}
+	return got != nil
 }
 
-// waitingHere is what gangs already planned on a machine, not yet started, will take.
-func (f *Fleet) waitingHere(m *Machine) planner.Size {
-	var s planner.Size
-	for ix, ts := range m.Lanes {
-		if j := f.job(ix); j.Spec.Kind != jobs.Array {
-			for range ts {
-				s = s.Add(j.Spec.Size())
-			}
+// claim keeps what frees up first for a gang.
+func (f *Fleet) claim(j *jobs.Job, fd *field) {
+	zone := jobs.None
+	if j.Spec.OneZone {
+		zone = fd.ps[0].m.Zone
+	}
+	i := fd.claimed[zone]
+	for n := 0; i < len(fd.ps) && n < j.N; i++ {
+		m := fd.ps[i].m
+		if (zone == jobs.None || m.Zone == zone) && (m.claimRank > f.rankOf(j) || m.claim == (planner.Size{})) {
+			m.claim, m.claimRank = j.Spec.Size(), f.rankOf(j)
+			n++
 		}
+		f.Steps++
 	}
-	return s
+	fd.claimed[zone] = i
 }
 
 // placeService plans the replicas that have no machine, one by one, first fit.
 func (f *Fleet) placeService(now time.Duration, j *jobs.Job) {
+	if j.In[jobs.Unplanned] == 0 {
+		return
+	}
+	fd, i := f.field(now, j), 0
 	for t := range j.Tasks {
 		k := &j.Tasks[t]
-		if k.State != jobs.Unplanned || k.Until > now || !f.Ledger.Fits(j.Team, j.Spec.Size(), 1) {
+		if k.State != jobs.Unplanned || k.Until > now {
 			continue
 		}
-		placed := false
-		for _, p := range f.prospects(now, j) {
-			if p.at == 0 && j.Spec.Size().Fits(p.m.Free().Sub(f.waitingHere(p.m))) {
-				f.plan(now, j, int32(t), p.m)
-				placed = true
+		for ; i < len(fd.ps); i++ {
+			if p := fd.ps[i]; p.at == 0 && f.allowed(p.m, j) && j.Spec.Size().Fits(f.room(p.m, j)) {
 				break
 			}
 		}
-		if !placed {
+		if i == len(fd.ps) || !f.Ledger.Fits(j.Team, j.Spec.Size(), 1) {
 			return
 		}
+		f.plan(now, j, int32(t), fd.ps[i].m)
 	}
 }
 
 // schedule plans what is unplanned, in rank order, and lets free lanes steal.
 func (f *Fleet) schedule(now time.Duration) {
+	f.pass = pass{fields: map[shape]*field{}, vain: map[plea]bool{}, began: f.Steps, lowest: math.MaxInt}
 	if now-f.ranked > 500*time.Millisecond || f.ranked == 0 {
 		f.Rank(now)
 	}
 	for _, m := range f.machines {
 		m.claim, m.claimRank = planner.Size{}, 1<<30
 	}
+	for _, j := range f.order {
+		f.pass.lowest = min(f.pass.lowest, j.Level)
+	}
+	f.Steps += uint64(len(f.machines) + len(f.order))
 	for _, j := range f.order {
 		if j.DoneN == j.N {
 			continue
@@ -495,25 +630,13 @@
 			f.preemptArray(now, j)
 		}
 	}
-	for _, m := range f.machines {
-		f.steal(now, m)
-	}
+	f.steal(now)
 }
 
 // unwedge replans gangs that cannot start as planned: a planned gang whose machine was
 // lost or filled up, and a running gang that lost a task.
 func (f *Fleet) unwedge(now time.Duration, j *jobs.Job) {
-	var unplanned, planned, on int
-	for t := range j.Tasks {
-		switch k := &j.Tasks[t]; {
-		case k.State == jobs.Unplanned:
-			unplanned++
-		case k.State == jobs.Planned:
-			planned++
-		case k.State.Occupies():
-			on++
-		}
-	}
+	unplanned, planned, on := j.In[jobs.Unplanned], j.In[jobs.Planned], j.On()
 	if planned > 0 && on == 0 {
 		for t := range j.Tasks {
 			k := &j.Tasks[t]
@@ -539,7 +662,7 @@
 		for t := range j.Tasks {
 			k := &j.Tasks[t]
 			if k.State.Occupies() {
-				k.Halting = true
+				f.halt(j, int32(t))
 			} else if k.State == jobs.Planned {
 				f.dropLane(j, int32(t))
 				f.must(j.Set(int32(t), jobs.Unplanned))
@@ -548,67 +671,121 @@
 	}
 }
 
-// steal gives a machine with free lanes unstarted tasks of the lane furthest behind.
-func (f *Fleet) steal(now time.Duration, m *Machine) {
-	if m.Condition != Acting || m.Retiring {
+// behind is a machine on which a job's planned tasks wait, and for how long the last one
+// is expected to wait there.
+type behind struct {
+	m    *Machine
+	wait float64
+}
+
+type delays []behind
+
+func (d delays) Len() int           { return len(d) }
+func (d delays) Less(a, b int) bool { return d[a].wait > d[b].wait }
+func (d delays) Swap(a, b int)      { d[a], d[b] = d[b], d[a] }
+func (d *delays) Push(x any)        { *d = append(*d, x.(behind)) }
+func (d *delays) Pop() any {
+	old := *d
+	x := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return x
+}
+
+// steal gives machines with free lanes unstarted tasks of the lanes furthest behind, job by
+// job in rank order. Only machines with room are looked at, and of a job only those on
+// which it waits.
+func (f *Fleet) steal(now time.Duration) {
+	least := planner.Size{CPUs: math.Inf(1), GPUs: math.Inf(1), Mem: math.Inf(1)}
+	var waiting []*jobs.Job
+	for _, j := range f.order {
+		if j.Spec.Kind == jobs.Array && j.In[jobs.Planned] > 0 && f.Ledger.Fits(j.Team, j.Spec.Size(), 1) {
+			waiting = append(waiting, j)
+			s := j.Spec.Size()
+			least = planner.Size{CPUs: min(least.CPUs, s.CPUs), GPUs: min(least.GPUs, s.GPUs), Mem: min(least.Mem, s.Mem)}
+		}
+	}
+	if len(waiting) == 0 {
 		return
 	}
-	for _, j := range f.order {
-		if j.Spec.Kind != jobs.Array || j.N == j.DoneN || !f.allowed(m, j) {
-			continue
+	var idle []*Machine
+	for _, m := range f.packed() {
+		if least.Fits(m.Free().Sub(m.need)) {
+			idle = append(idle, m)
 		}
-		for range 64 {
-			if !f.fits(m, j) || !j.Spec.Size().Fits(m.Free().Sub(f.plannedHere(m))) || !f.Ledger.Fits(j.Team, j.Spec.Size(), 1) {
-				break
+	}
+	f.Steps += uint64(len(f.pass.packed))
+	for _, j := range waiting {
+		var ds delays
+		size := j.Spec.Size()
+		for _, m := range idle {
+			f.Steps++
+			if !size.Fits(m.Free().Sub(m.need)) || !f.fits(m, j) || !f.allowed(m, j) {
+				continue
 			}
-			v := f.victim(now, m, j)
-			if v == nil {
+			if ds == nil {
+				ds = f.delays(now, j)
+			}
+			f.stealFor(now, m, j, &ds)
+			if len(ds) == 0 {
 				break
 			}
-			ts := v.Lanes[j.Index]
-			t := ts[len(ts)-1]
-			f.dropLane(j, t)
-			f.plan(now, j, t, m)
 		}
 	}
 }
 
-// plannedHere is what the tasks planned on a machine would take if all started.
-func (f *Fleet) plannedHere(m *Machine) planner.Size {
-	var s planner.Size
-	for ix, ts := range m.Lanes {
-		one := f.job(ix).Spec.Size()
-		n := float64(len(ts))
-		s = s.Add(planner.Size{CPUs: one.CPUs * n, GPUs: one.GPUs * n, Mem: one.Mem * n})
+// delays lists where a job's planned tasks wait, furthest behind first.
+func (f *Fleet) delays(now time.Duration, j *jobs.Job) delays {
+	ds := delays{}
+	for _, ix := range f.waitsAt(j) {
+		if w, ok := f.waits(now, j, f.machines[ix]); ok {
+			ds = append(ds, behind{f.machines[ix], w})
+		}
 	}
-	return s
+	f.Steps += uint64(2 * len(ds))
+	heap.Init(&ds)
+	return ds
 }
 
-// victim finds the machine whose lanes are furthest behind with a job's unstarted tasks,
-// if a start here would be earlier than there.
-func (f *Fleet) victim(now time.Duration, m *Machine, j *jobs.Job) *Machine {
-	var best *Machine
-	most := f.fetchS(j, m)
-	for _, v := range f.machines {
-		ts := v.Lanes[j.Index]
-		if v == m || len(ts) == 0 || !j.IsDurable(ts[len(ts)-1]) {
-			continue
-		}
-		n := max(1, j.Spec.Size().Copies(v.Size))
-		wait := f.freeIn(now, v, j)
-		if f.fits(v, j) {
-			wait = 0
+// waits estimates how long the last of a job's planned tasks waits on a machine; ok is
+// false if it can't be moved.
+func (f *Fleet) waits(now time.Duration, j *jobs.Job, m *Machine) (float64, bool) {
+	ts := m.Lanes[j.Index]
+	if len(ts) == 0 || !j.IsDurable(ts[len(ts)-1]) {
+		return 0, false
+	}
+	est := f.estimate(j)
+	wait := 0.0
+	if !f.fits(m, j) {
+		if wait = f.freeIn(now, m, j); wait > 1e5 {
+			wait = est
 		}
-		if wait > 1e5 {
-			wait = f.estimate(j)
+	}
+	n := max(1, j.Spec.Size().Copies(m.Size))
+	return wait + est*m.slow*float64((len(ts)-1)/n) + f.fetchS(j, m), true
+}
+
+// stealFor moves a job's tasks to a machine for as long as it has room and they would start
+// sooner there, fetch included.
+func (f *Fleet) stealFor(now time.Duration, m *Machine, j *jobs.Job, ds *delays) {
+	size := j.Spec.Size()
+	sooner := f.fetchS(j, m) + 0.5
+	for range 64 {
+		if len(*ds) == 0 || (*ds)[0].wait <= sooner || !size.Fits(m.Free().Sub(m.need)) || !f.fits(m, j) {
+			return
 		}
-		wait += f.estimate(j) * v.slow * float64((len(ts)-1)/n)
-		wait += f.fetchS(j, v)
-		if wait > most+0.5 {
-			best, most = v, wait
+		v := (*ds)[0].m
+		ts := v.Lanes[j.Index]
+		t := ts[len(ts)-1]
+		f.dropLane(j, t)
+		f.plan(now, j, t, m)
+		f.Steps += 4
+		if w, ok := f.waits(now, j, v); ok {
+			(*ds)[0].wait = w
+			heap.Fix(ds, 0)
+		} else {
+			heap.Pop(ds)
 		}
 	}
-	return best
 }
 
 // Tick does what is due at a time: ends leases, plans, writes and sends launches.
@@ -622,13 +799,29 @@
 		again(now)
 	}
 	f.expire(now)
-	f.schedule(now)
+	planned := now >= f.nextPass
+	if planned {
+		before := f.Steps
+		f.schedule(now)
+		// Planning leaves most of the processor to reports and renewals: the next pass
+		// comes the later the more this one had to look at.
+		cores := f.Settings.Params.Limits.Cores
+		if cores <= 0 {
+			cores = 1
+		}
+		f.nextPass = now + time.Duration(float64(f.Steps-before)*float64(stepPause)/cores)
+	}
 	f.Flush(now)
-	if authority {
+	if authority && (planned || f.news) {
+		f.news = false
 		f.push(now)
 	}
 }
 
+// stepPause is the pause for each step of planning on a full core: about three times what
+// a step costs.
+const stepPause = 300 * time.Nanosecond
+
 // expire releases the tasks of machines whose workers' leases have surely run out: the
 // worker counts from when it sent its last answered report, which was before our answer,
 // on a clock that may be slow by the drift bound.
@@ -686,11 +879,21 @@
 			now-m.pushed < 200*time.Millisecond {
 			continue
 		}
+		if m.Planned == 0 && !m.halts {
+			continue
+		}
 		calls := f.starts(now, m)
 		started := len(calls)
+		halts := m.halts
+		m.halts = false
 		for r := range m.On {
+			if !halts {
+				break
+			}
 			j := f.job(r.Job)
-			if k := &j.Tasks[r.Task]; k.Halting && k.State == jobs.OnMachine && k.Phase != jobs.Saving && now-k.HaltBy > time.Second {
+			k := &j.Tasks[r.Task]
+			m.halts = m.halts || k.Halting
+			if k.Halting && k.State == jobs.OnMachine && k.Phase != jobs.Saving && now-k.HaltBy > time.Second {
 				grace := j.Spec.SaveS + 1
 				if j.Stance.Terminal() {
 					grace = 0
--- a/internal/fleet/preempt.go
+++ b/internal/fleet/preempt.go
@@ -59,10 +59,7 @@
 		Ref
 		lost float64
 	}
-	free := m.Free().Sub(f.waitingHere(m))
-	if m.claimRank < f.rankOf(j) {
-		free = free.Sub(m.claim)
-	}
+	free := f.room(m, j)
 	size := j.Spec.Size()
 	var cs []candidate
 	for r := range m.On {
@@ -98,6 +95,11 @@
 // preemptFor makes room for a gang of one on the machine where it can start soonest,
 // counting wasted work as delay.
 func (f *Fleet) preemptFor(now time.Duration, j *jobs.Job, ps []prospect) bool {
+	key := plea{shapeOf(j), j.Team, j.Level, f.within[j.Index]}
+	if f.pass.vain[key] || f.pass.tries >= searches || (j.Level <= f.pass.lowest && !f.within[j.Index]) {
+		return false
+	}
+	f.pass.tries++
 	var best *Machine
 	var stop []Ref
 	cost := ps[0].at + ps[0].fetch - patience
@@ -106,6 +108,7 @@
 			continue
 		}
 		refs, lost, ok := f.victims(now, p.m, j)
+		f.Steps += uint64(len(p.m.On))
 		weight := 1.0
 		if f.within[j.Index] {
 			weight = 0.05 // the guarantee goes before the loss
@@ -115,6 +118,7 @@
 		}
 	}
 	if best == nil {
+		f.pass.vain[key] = true
 		return false
 	}
 	f.stop(now, best, j, stop)
@@ -124,12 +128,14 @@
 
 // preemptArray makes room for an array's planned tasks where they are planned.
 func (f *Fleet) preemptArray(now time.Duration, j *jobs.Job) {
-	if j.Level == 0 && !f.within[j.Index] {
+	if j.In[jobs.Planned] == 0 || (j.Level <= f.pass.lowest && !f.within[j.Index]) || !f.Ledger.Fits(j.Team, j.Spec.Size(), 1) {
 		return
 	}
-	for _, m := range f.machines {
-		if m.Condition != Acting || m.Retiring || len(m.Lanes[j.Index]) == 0 || f.fits(m, j) || f.freeIn(now, m, j) < f.canWait(now, j) ||
-			!f.allowed(m, j) || !f.Ledger.Fits(j.Team, j.Spec.Size(), 1) {
+	patient := f.canWait(now, j)
+	for _, ix := range f.waitsAt(j) {
+		m := f.machines[ix]
+		f.Steps++
+		if m.Condition != Acting || m.Retiring || f.fits(m, j) || f.freeIn(now, m, j) < patient || !f.allowed(m, j) {
 			continue
 		}
 		if refs, _, ok := f.victims(now, m, j); ok {
@@ -143,7 +149,7 @@
 
 func (f *Fleet) stop(now time.Duration, m *Machine, j *jobs.Job, refs []Ref) {
 	for _, r := range refs {
-		f.job(r.Job).Tasks[r.Task].Halting = true
+		f.halt(f.job(r.Job), r.Task)
 	}
 	if len(refs) > 0 {
 		slog.Info("preempting", "job", j.ID, "machine", m.Name, "tasks", len(refs), "term", f.Term)
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -200,7 +201,7 @@
 		j.Attempt = max(j.Attempt, e.Attempt)
 		j.Started = true
 		if j.Stance.Terminal() {
-			k.Halting = true
+			f.halt(j, t)
 		}
 	}
 	k.Attempt = e.Attempt
@@ -209,7 +210,10 @@
 	if p == jobs.Running && k.Phase != jobs.Running {
 		k.RunSince = now
 	}
-	k.Phase = p
+	if k.Phase != p {
+		k.Phase = p
+		m.endsOK = false
+	}
 }
 
 // exit takes over the end of a task. again tells that another attempt of it is listed as
@@ -226,7 +230,8 @@
 		if k.State.Occupies() && (k.Machine != m.Index || again || (k.Late && k.Attempt != e.Attempt)) {
 			// It is done, but another attempt may be on a machine: that counts until it
 			// is seen to be gone.
-			k.Done, k.Halting = true, true
+			k.Done = true
+			f.halt(j, t)
 			return
 		}
 		f.finish(now, m, j, t, true)
@@ -358,15 +363,9 @@
 	}
 	m := f.machines[k.Machine]
 	ts := m.Lanes[j.Index]
-	for i, x := range ts {
-		if x == t {
-			m.Lanes[j.Index] = append(ts[:i], ts[i+1:]...)
-			m.Planned--
-			break
-		}
-	}
-	if len(m.Lanes[j.Index]) == 0 {
-		delete(m.Lanes, j.Index)
+	if i := slices.Index(ts, t); i >= 0 {
+		m.Lanes[j.Index] = slices.Delete(ts, i, i+1)
+		f.unqueue(m, j, 1)
 	}
 }
 
@@ -460,7 +459,7 @@
 		}
 		for o := range j.Tasks {
 			if j.Tasks[o].State.Occupies() {
-				j.Tasks[o].Halting = true
+				f.halt(j, int32(o))
 			}
 		}
 		return j.Spec.SaveS + 1, true
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -38,15 +39,17 @@
 		return true
 	}
 	f.collect(now, add)
-	hints := f.encodeImages(now)
-	if len(ops) == 0 && hints == nil {
+	shard := f.nextShard(now)
+	if len(ops) == 0 && shard < 0 {
 		f.sweep()
 		return
 	}
 	t := store.Txn{}
-	if hints != nil && len(ops) < f.TxnOps && bytes+len(hints) < 60<<10 && f.Room(len(ops)+1) {
-		f.imagesAt, f.imagesDirty = now, false
-		t.Then = append(t.Then, store.Op{Put: imagesKey, Value: hints})
+	if shard >= 0 && len(ops) < f.TxnOps && f.Room(len(ops)+1) {
+		if hints := f.encodeImages(shard); bytes+len(hints) < 60<<10 {
+			f.imagesAt, f.shard, f.shards[shard] = now, shard, false
+			t.Then = append(t.Then, store.Op{Put: fmt.Sprintf("%s/%d", imagesKey, shard), Value: hints})
+		}
 	}
 	if len(ops)+len(t.Then) == 0 {
 		return
@@ -105,7 +108,9 @@
 		f.Flush(now)
 		return
 	}
-	f.imagesDirty = true
+	if f.shard < len(f.shards) {
+		f.shards[f.shard] = true
+	}
 	slog.Debug("write failed", "outcome", r.Outcome.String(), "failed", r.Failed, "ops", len(ops), "term", f.Term)
 	if r.Outcome == store.NotDone || r.Outcome == store.NoHold {
 		f.writing = false
@@ -151,6 +156,7 @@
 }
 
 func (f *Fleet) applied(now time.Duration, p pending, version uint64) {
+	f.news = true
 	if p.chunk != nil {
 		p.chunk.Version, p.chunk.Durable, p.chunk.Pending = version, p.snapshot, nil
 		return
--- a/internal/httpio/httpio.go
+++ b/internal/httpio/httpio.go
@@ -15,6 +15,7 @@
 	Path    string // path and query
 	Body    []byte
 	Timeout time.Duration
+	Once    bool // close the connection after the answer
 }
 
 // Response is its outcome: Err is set when nothing usable came back, in which case the
@@ -89,6 +90,9 @@
 	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	q.SetRequestURI("http://" + addr + req.Path)
 	q.Header.SetMethod(req.Method)
+	if req.Once {
+		q.SetConnectionClose()
+	}
 	if req.Body != nil {
 		q.Header.SetContentType("application/json")
 		q.SetBody(req.Body)
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -21,6 +21,7 @@
 
 	Tasks  []Task
 	Chunks []*Chunk
+	In     [Finished + 1]int // tasks by state, kept by Set
 
 	DoneN    int // finished tasks, as far as known here
 	RunningN int // display only
--- a/internal/jobs/task.go
+++ b/internal/jobs/task.go
@@ -96,6 +96,8 @@
 				k.Machine = None
 			}
 		}
+		j.In[k.State]--
+		j.In[to]++
 		k.State = to
 		return nil
 	}
@@ -149,8 +151,15 @@
 		j.Chunks = append(j.Chunks, c)
 	}
 	j.DoneN = 0
+	j.In = [Finished + 1]int{Unplanned: j.N}
 }
 
+// Left is the number of tasks that are not started.
+func (j *Job) Left() int { return j.In[Unplanned] + j.In[Planned] }
+
+// On is the number of tasks that count as being on a machine.
+func (j *Job) On() int { return j.In[Launched] + j.In[Recovered] + j.In[OnMachine] }
+
 // ChunkOf finds a task's chunk.
 func (j *Job) ChunkOf(t int32) *Chunk { return j.Chunks[int(t)/ChunkTasks] }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -9,6 +9,7 @@
 	"container/heap"
 	"math"
 	"math/rand/v2"
+	"slices"
 )
 
 // Group is a set of interchangeable tasks that prefer the same servers.
@@ -365,6 +366,9 @@
 // Add puts o on top.
 func (s Size) Add(o Size) Size { return Size{s.CPUs + o.CPUs, s.GPUs + o.GPUs, s.Mem + o.Mem} }
 
+// Times is k of s.
+func (s Size) Times(k float64) Size { return Size{s.CPUs * k, s.GPUs * k, s.Mem * k} }
+
 // Copies is how many of s fit side by side.
 func (s Size) Copies(in Size) int {
 	n := math.Inf(1)
@@ -389,14 +393,14 @@
 
 // Lanes reads a machine of the given size as lanes for tasks of one size: one lane per
 // copy that fits, loaded with the estimated remaining work in the order given. A task
-// wider than a lane loads several.
-func Lanes(machine, task Size, work []Work) []float64 {
+// wider than a lane loads several, the least loaded ones, from when the last of them is
+// free. The loads are appended to dst.
+func Lanes(dst []float64, machine, task Size, work []Work) []float64 {
 	n := min(task.Copies(machine), maxLanes)
-	if n <= 0 {
-		return nil
+	for range n {
+		dst = append(dst, 0)
 	}
-	load := make([]float64, n)
-	h := newLoadHeap(load)
+	load := dst[len(dst)-n:]
 	for _, w := range work {
 		share := 0.0
 		for _, d := range [...][2]float64{{w.Size.CPUs, machine.CPUs}, {w.Size.GPUs, machine.GPUs}, {w.Size.Mem, machine.Mem}} {
@@ -405,19 +409,40 @@
 			}
 		}
 		width := min(n, max(1, int(math.Round(share*float64(n)))))
-		taken := make([]int32, 0, width)
-		start := 0.0
-		for range width {
-			s := heap.Pop(h).(int32)
-			start = math.Max(start, load[s])
-			taken = append(taken, s)
+		switch {
+		case n == 0:
+		case width == n:
+			end := slices.Max(load) + w.Left
+			for i := range load {
+				load[i] = end
+			}
+		case width == 1:
+			load[least(load)] += w.Left
+		default:
+			var taken [maxLanes]int
+			start := 0.0
+			for i := range width {
+				taken[i] = least(load)
+				start = load[taken[i]]
+				load[taken[i]] = math.Inf(1)
+			}
+			for _, i := range taken[:width] {
+				load[i] = start + w.Left
+			}
 		}
-		for _, s := range taken {
-			load[s] = start + w.Left
-			heap.Push(h, s)
+	}
+	return dst
+}
+
+// least is the place of the smallest load, the first of equal ones.
+func least(load []float64) int {
+	best := 0
+	for i, l := range load {
+		if l < load[best] {
+			best = i
 		}
 	}
-	return load
+	return best
 }
 
 // Host is a machine as first fit sees it.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -206,7 +206,7 @@
 // Lane loads follow list scheduling, and wide work takes several lanes.
 func TestLanes(t *testing.T) {
 	m := Size{CPUs: 8, Mem: 16}
-	got := Lanes(m, Size{CPUs: 2, Mem: 1}, []Work{{Size{CPUs: 2, Mem: 1}, 5}, {Size{CPUs: 4, Mem: 1}, 3}, {Size{CPUs: 2, Mem: 1}, 1}})
+	got := Lanes(nil, m, Size{CPUs: 2, Mem: 1}, []Work{{Size{CPUs: 2, Mem: 1}, 5}, {Size{CPUs: 4, Mem: 1}, 3}, {Size{CPUs: 2, Mem: 1}, 1}})
 	want := map[float64]int{5: 1, 3: 2, 1: 1}
 	for _, l := range got {
 		want[l]--
@@ -216,7 +216,7 @@
 			t.Fatalf("lanes %v: load %v is off by %d", got, l, n)
 		}
 	}
-	if Lanes(m, Size{GPUs: 1}, nil) != nil {
+	if len(Lanes(nil, m, Size{GPUs: 1}, nil)) != 0 {
 		t.Fatal("a machine without GPUs has no lane for a GPU task")
 	}
 }
