--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -77,7 +77,7 @@
 
 // NewCloud makes a client with a share of the cloud's rate.
 func NewCloud(addr string, send httpio.Sender, now func() time.Duration, rps float64) *Cloud {
-	return &Cloud{addr: addr, send: send, now: now, budget: store.NewBudget(rps)}
+	return &Cloud{addr: addr, send: send, now: now, budget: store.NewBudget(rps, 0.8)}
 }
 
 func (c *Cloud) call(method, path string, body any, done func(httpio.Response)) bool {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -35,6 +35,14 @@
 // together stay within the limit.
 const leaderPart = 0.6
 
+// How many seconds' worth of its part a controller may use at once: the service allows one
+// second's worth in all. The leader's requests are many and even, while submissions come
+// in bursts.
+const (
+	leaderBurst = 0.8
+	otherBurst  = 1.25
+)
+
 // Requests in flight: to the state service and the cloud, and to workers. The two don't
 // share slots, or workers that hang behind a cut would keep holds from being renewed.
 const (
@@ -114,11 +122,11 @@
 
 // share is this controller's part of the state service's rate.
 func (c *Controller) share(leading bool) store.Share {
-	part := leaderPart
+	part, burst := leaderPart, leaderBurst
 	if others := len(c.s.Peers); !leading && others > 0 {
-		part = (1 - leaderPart) / float64(others)
+		part, burst = (1-leaderPart)/float64(others), otherBurst
 	}
-	return store.Share{RPS: c.s.Params.State.RPS * part, WriteRPS: c.s.Params.State.WriteRPS * part}
+	return store.Share{RPS: c.s.Params.State.RPS * part, WriteRPS: c.s.Params.State.WriteRPS * part, BurstS: burst}
 }
 
 // Run listens and serves until the process is ended.
@@ -290,6 +298,7 @@
 		Settings: c.s, Book: c.book, Rng: c.rng, TxnOps: c.s.Params.State.TxnOps - 1, Now: c.loop.Now, Learned: c.learned,
 		Types: func(ix int32) *fleet.Type { return c.byType[ix] },
 		Room:  func(n int) bool { return c.store.Room(n, store.Safety) },
+		Spare: c.store.Spare,
 		Commit: func(t store.Txn, done func(store.Result)) {
 			t.If = append([]store.Cond{c.mem.Guard()}, t.If...)
 			f := c.fleet
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -40,6 +40,8 @@
 	Rng      *rand.Rand
 	// Room tells whether a write of n operations may go out now.
 	Room func(n int) bool
+	// Spare tells whether half of the budget for writes is unused.
+	Spare func() bool
 	// Commit sends one transaction of the leader, guarded by its leader key.
 	Commit func(store.Txn, func(store.Result))
 	// Read re-reads one key after an open or failed write.
--- a/internal/fleet/guards_test.go
+++ b/internal/fleet/guards_test.go
@@ -47,6 +47,7 @@
 		Settings: s, Book: book, Rng: rand.New(rand.NewPCG(1, 1)), TxnOps: 20, Now: func() time.Duration { return g.now },
 		Types: func(int32) *Type { return &Type{Size: planner.Size{CPUs: 4, Mem: 16}, CacheGB: 10, FetchGB: 1} },
 		Room:  func(int) bool { return true },
+		Spare: func() bool { return true },
 		Commit: func(t store.Txn, done func(store.Result)) {
 			g.commit = append(g.commit, func(o store.Outcome) {
 				g.rev++
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -199,7 +199,8 @@
 			}
 			return nil
 		},
-		Room: func(int) bool { return true },
+		Room:  func(int) bool { return true },
+		Spare: func() bool { return true },
 		Commit: func(t store.Txn, done func(store.Result)) {
 			t.If = append([]store.Cond{guard}, t.If...)
 			answer := func(r store.Result) {
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -80,6 +80,11 @@
 		}
 	}
 	for _, urgent := range []bool{true, false} {
+		if !urgent && !f.Spare() {
+			// Nobody waits for these: what is left of the budget is for submissions, and
+			// for the plans of the next second.
+			return
+		}
 		for _, j := range f.order {
 			if j.Stance != jobs.Pending || j.DoneN == j.N {
 				continue
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -55,7 +55,7 @@
 
 func newDesk(svc *statetest.Service) *desk {
 	d := &desk{svc: svc}
-	st := store.New("", d, func() time.Duration { return svc.Now }, store.Share{RPS: 1e6, WriteRPS: 1e6}, 24)
+	st := store.New("", d, func() time.Duration { return svc.Now }, store.Share{RPS: 1e6, WriteRPS: 1e6, BurstS: 0.8}, 24)
 	book := jobs.NewBook(0)
 	d.Intake = New(Env{Store: st, Book: book, Ready: func() bool { return true }, TxnOps: 24,
 		Admit: func(s *jobs.Spec) (bool, bool, string) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -86,16 +86,16 @@
 	at                  time.Duration
 }
 
-// NewBudget makes a full bucket for rate per second.
-func NewBudget(rate float64) *Budget {
-	burst := max(1, rate*0.8)
+// NewBudget makes a full bucket for rate per second that holds what comes in burstS.
+func NewBudget(rate, burstS float64) *Budget {
+	burst := max(1, rate*burstS)
 	return &Budget{rate: rate, burst: burst, tokens: burst}
 }
 
-// SetRate changes the rate from now on.
-func (b *Budget) SetRate(now time.Duration, rate float64) {
+// SetRate changes the rate and the bucket from now on.
+func (b *Budget) SetRate(now time.Duration, rate, burstS float64) {
 	b.fill(now)
-	b.rate, b.burst = rate, max(1, rate*0.8)
+	b.rate, b.burst = rate, max(1, rate*burstS)
 	b.tokens = min(b.tokens, b.burst)
 }
 
@@ -133,20 +133,21 @@
 	lastOK time.Duration
 }
 
-// Share is the part of the service's limits that a controller may use.
-type Share struct{ RPS, WriteRPS float64 }
+// Share is the part of the service's limits that a controller may use: rates, and how
+// many seconds' worth may be used at once.
+type Share struct{ RPS, WriteRPS, BurstS float64 }
 
 // New makes a client with a share of the service's limits.
 func New(addr string, send httpio.Sender, now func() time.Duration, s Share, txnOps int) *Client {
 	return &Client{addr: addr, send: send, now: now, ops: txnOps,
-		reqs: NewBudget(s.RPS), writes: NewBudget(s.WriteRPS)}
+		reqs: NewBudget(s.RPS, s.BurstS), writes: NewBudget(s.WriteRPS, s.BurstS)}
 }
 
 // SetShare changes the budget, for example on becoming leader.
 func (c *Client) SetShare(s Share) {
 	now := c.now()
-	c.reqs.SetRate(now, s.RPS)
-	c.writes.SetRate(now, s.WriteRPS)
+	c.reqs.SetRate(now, s.RPS, s.BurstS)
+	c.writes.SetRate(now, s.WriteRPS, s.BurstS)
 }
 
 // TxnOps is the most operations in one transaction.
@@ -161,6 +162,9 @@
 	return c.reqs.Has(now, 1, class) && (n == 0 || c.writes.Has(now, float64(n), class))
 }
 
+// Spare tells whether half of the budget for writes is unused.
+func (c *Client) Spare() bool { return c.writes.Has(c.now(), c.writes.burst/2, Safety) }
+
 func (c *Client) call(req httpio.Request, writes int, class Class, done func(httpio.Response)) {
 	if !c.Room(writes, class) {
 		done(httpio.Response{Status: 429})
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -37,7 +37,7 @@
 }
 
 func TestBudgetKeepsAReserveForSafety(t *testing.T) {
-	b := store.NewBudget(10)
+	b := store.NewBudget(10, 0.8)
 	spend := func(now time.Duration, c store.Class) (n int) {
 		for b.Has(now, 1, c) {
 			b.Take(1)
@@ -70,7 +70,7 @@
 func TestOutcomes(t *testing.T) {
 	now := time.Duration(0)
 	l := &line{svc: statetest.New()}
-	c := store.New("", l, func() time.Duration { return now }, store.Share{RPS: 1000, WriteRPS: 1000}, 24)
+	c := store.New("", l, func() time.Duration { return now }, store.Share{RPS: 1000, WriteRPS: 1000, BurstS: 0.8}, 24)
 	var got store.Result
 	put := func(key string, version, hold uint64) store.Outcome {
 		c.Txn(store.Txn{If: []store.Cond{{Key: key, Version: version}}, Then: []store.Op{{Put: key, Value: json.RawMessage("1"), Hold: hold}}},
@@ -113,7 +113,7 @@
 func TestMirror(t *testing.T) {
 	now := time.Duration(0)
 	l := &line{svc: statetest.New()}
-	c := store.New("", l, func() time.Duration { return now }, store.Share{RPS: 1e6, WriteRPS: 1e6}, 24)
+	c := store.New("", l, func() time.Duration { return now }, store.Share{RPS: 1e6, WriteRPS: 1e6, BurstS: 0.8}, 24)
 	put := func(k, v string) {
 		l.svc.Serve(httpio.Request{Path: "/txn", Body: fmt.Appendf(nil, `{"if":[],"apply":[{"set":%q,"data":%q}]}`, k, v)})
 	}
