--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -83,11 +83,12 @@
 	nextPass time.Duration
 	// Steps counts the work of planning, in looks at a machine, lane or task. It paces the
 	// passes, and tests bound it.
-	Steps  uint64
-	ixs    []jobs.Index                 // scratch
-	works  []planner.Work               // scratch
-	news   bool                         // a plan became durable since the last push
-	barren map[jobs.Index]time.Duration // arrays for which no machine was found, until when
+	Steps   uint64
+	ixs     []jobs.Index                 // scratch
+	works   []planner.Work               // scratch
+	pleaded map[jobs.Index]time.Duration // gangs that had others stopped, when last
+	news    bool                         // a plan became durable since the last push
+	barren  map[jobs.Index]time.Duration // arrays for which no machine was found, until when
 
 	// hints are the caches that the owner before inferred, until their machines are heard.
 	hints    map[string][]cached
@@ -113,7 +114,7 @@
 func New(env Env, term uint64, now time.Duration) *Fleet {
 	f := &Fleet{Env: env, Term: term, since: now, byName: map[string]*Machine{}, rank: map[jobs.Index]int{},
 		within: map[jobs.Index]bool{}, classes: map[int32]*classStats{}, LastReport: now,
-		hints: map[string][]cached{}, spread: map[jobs.Index]map[int32]int{}, barren: map[jobs.Index]time.Duration{}}
+		hints: map[string][]cached{}, spread: map[jobs.Index]map[int32]int{}, barren: map[jobs.Index]time.Duration{}, pleaded: map[jobs.Index]time.Duration{}}
 	f.Ledger = quota.New(env.Settings.Params.Teams, env.Book.Door.Teams.Index)
 	return f
 }
@@ -377,7 +378,8 @@
 	k := &j.Tasks[t]
 	k.Halting = true
 	if k.Machine != jobs.None {
-		f.machines[k.Machine].halts = true
+		m := f.machines[k.Machine]
+		m.halts, m.endsOK = true, false
 	}
 }
 
@@ -447,6 +449,9 @@
 func (f *Fleet) left(now time.Duration, j *jobs.Job, t int32) float64 {
 	k := &j.Tasks[t]
 	m := f.machines[k.Machine]
+	if k.Halting {
+		return j.Spec.SaveS + 1
+	}
 	est := f.estimate(j) * m.slow
 	if k.Phase == jobs.Running || k.Phase == jobs.Saving {
 		ran := (now - k.RunSince).Seconds()
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -414,9 +414,11 @@
 // plea is what jobs have in common for which the same tasks may be preempted.
 type plea struct {
 	shape
-	team   int32
-	level  int
-	within bool
+	team    int32
+	level   int
+	within  bool
+	n       int
+	oneZone bool
 }
 
 func shapeOf(j *jobs.Job) shape {
@@ -525,10 +527,11 @@
 	if len(fd.ps) == 0 || f.placeIn(now, j, fd) {
 		return
 	}
-	if j.N == 1 && fd.ps[0].at+fd.ps[0].fetch > f.canWait(now, j) && f.preemptFor(now, j, fd.ps) {
+	zone, start := f.soonest(j, fd)
+	if start > f.canWait(now, j) && f.preemptFor(now, j, fd.ps, start) {
 		return
 	}
-	f.claim(j, fd)
+	f.claim(j, fd, zone)
 }
 
 // placeIn plans a gang on machines that have room now.
@@ -561,12 +564,25 @@
 	return got != nil
 }
 
-// claim keeps what frees up first for a gang.
-func (f *Fleet) claim(j *jobs.Job, fd *field) {
-	zone := jobs.None
-	if j.Spec.OneZone {
-		zone = fd.ps[0].m.Zone
+// soonest estimates when enough machines will have room for a gang, one for each task, and
+// in which zone if it must stay in one.
+func (f *Fleet) soonest(j *jobs.Job, fd *field) (zone int32, start float64) {
+	n := map[int32]int{}
+	for _, p := range fd.ps {
+		zone = jobs.None
+		if j.Spec.OneZone {
+			zone = p.m.Zone
+		}
+		f.Steps++
+		if n[zone]++; n[zone] >= j.N {
+			return zone, p.at + p.fetch
+		}
 	}
+	return zone, 1e6
+}
+
+// claim keeps what frees up first for a gang.
+func (f *Fleet) claim(j *jobs.Job, fd *field, zone int32) {
 	i := fd.claimed[zone]
 	for n := 0; i < len(fd.ps) && n < j.N; i++ {
 		m := fd.ps[i].m
--- a/internal/fleet/preempt.go
+++ b/internal/fleet/preempt.go
@@ -1,7 +1,10 @@
 package fleet
 
 import (
+	"cmp"
 	"log/slog"
+	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -12,6 +15,10 @@
 // patience is how many seconds a job always waits for a natural end before it preempts.
 const patience = 3.0
 
+// cooling is how long a gang that had others stopped waits for them to be gone before it
+// may stop more.
+const cooling = 5 * time.Second
+
 // canWait is how many seconds a job may wait for a natural end before one of its aims is
 // missed; stopping others any earlier wastes their work for nothing.
 func (f *Fleet) canWait(now time.Duration, j *jobs.Job) float64 {
@@ -92,37 +99,67 @@
 	return out, lost, size.Fits(free)
 }
 
-// preemptFor makes room for a gang of one on the machine where it can start soonest,
-// counting wasted work as delay.
-func (f *Fleet) preemptFor(now time.Duration, j *jobs.Job, ps []prospect) bool {
-	key := plea{shapeOf(j), j.Team, j.Level, f.within[j.Index]}
+// sacrifice is what room for one task on a machine costs.
+type sacrifice struct {
+	m    *Machine
+	stop []Ref
+	cost float64 // seconds until the task could start, wasted work counted as delay
+}
+
+// preemptFor makes room for a gang on the machines where it can start soonest, one for each
+// task and in one zone if need be, counting wasted work as delay. start is when it would
+// start without.
+func (f *Fleet) preemptFor(now time.Duration, j *jobs.Job, ps []prospect, start float64) bool {
+	key := plea{shapeOf(j), j.Team, j.Level, f.within[j.Index], j.N, j.Spec.OneZone}
+	if t, ok := f.pleaded[j.Index]; ok && now-t < cooling {
+		return false
+	}
 	if f.pass.vain[key] || f.pass.tries >= searches || (j.Level <= f.pass.lowest && !f.within[j.Index]) {
 		return false
 	}
 	f.pass.tries++
-	var best *Machine
-	var stop []Ref
-	cost := ps[0].at + ps[0].fetch - patience
+	weight := 1.0
+	if f.within[j.Index] {
+		weight = 0.05 // the guarantee goes before the loss
+	}
+	byZone := map[int32][]sacrifice{}
 	for _, p := range ps {
-		if p.at == 0 {
-			continue
-		}
 		refs, lost, ok := f.victims(now, p.m, j)
 		f.Steps += uint64(len(p.m.On))
-		weight := 1.0
-		if f.within[j.Index] {
-			weight = 0.05 // the guarantee goes before the loss
+		if c := 1 + p.fetch + weight*lost; ok && c < start-patience {
+			zone := jobs.None
+			if j.Spec.OneZone {
+				zone = p.m.Zone
+			}
+			byZone[zone] = append(byZone[zone], sacrifice{p.m, refs, c})
 		}
-		if c := 1 + p.fetch + weight*lost; ok && c < cost {
-			best, stop, cost = p.m, refs, c
+	}
+	var best []sacrifice
+	for _, ss := range byZone {
+		if len(ss) < j.N {
+			continue
+		}
+		slices.SortFunc(ss, func(a, b sacrifice) int {
+			return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.m.Index, b.m.Index))
+		})
+		ss = ss[:j.N]
+		a, b := ss[j.N-1], sacrifice{cost: math.Inf(1)}
+		if best != nil {
+			b = best[j.N-1]
+		}
+		if a.cost < b.cost || (a.cost == b.cost && a.m.Index < b.m.Index) {
+			best = ss
 		}
 	}
 	if best == nil {
 		f.pass.vain[key] = true
 		return false
 	}
-	f.stop(now, best, j, stop)
-	best.claim, best.claimRank = j.Spec.Size(), f.rankOf(j)
+	f.pleaded[j.Index] = now
+	for _, s := range best {
+		f.stop(now, s.m, j, s.stop)
+		s.m.claim, s.m.claimRank = j.Spec.Size(), f.rankOf(j)
+	}
 	return true
 }
 
