Keep the cores beside idle accelerators for work that waits for them

Excluded: renting (all offered machines were up by 300 s), fetches (7 s).

Change: while work with accelerators waits, tasks without leave on each machine, for each idle accelerator, the cores and memory that such work takes; their lanes are read from what is left.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -86,6 +86,7 @@
 	Steps   uint64
 	ixs     []jobs.Index                 // scratch
 	works   []planner.Work               // scratch
+	perGPU  planner.Size                 // what waiting work takes besides, for each accelerator
 	pleaded map[jobs.Index]time.Duration // gangs that had others stopped, when last
 	news    bool                         // a plan became durable since the last push
 	barren  map[jobs.Index]time.Duration // arrays for which no machine was found, until when
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -38,6 +38,27 @@
 	began  uint64        // Steps at the start
 }
 
+// keeps is what tasks without an accelerator must leave of a machine, so that its idle
+// accelerators can be used by work that waits for them: small tasks that took every core
+// as it came free would never let a large one in.
+func (f *Fleet) keeps(m *Machine, s planner.Size, idle float64) planner.Size {
+	if s.GPUs > 0 || m.Size.GPUs == 0 || f.perGPU == (planner.Size{}) {
+		return planner.Size{}
+	}
+	return f.perGPU.Times(idle)
+}
+
+// share finds what waiting work takes of a machine for each accelerator.
+func (f *Fleet) share() {
+	f.perGPU = planner.Size{}
+	for _, j := range f.order {
+		if s := j.Spec.Size(); s.GPUs > 0 && j.Left() > 0 {
+			f.perGPU.CPUs = max(f.perGPU.CPUs, s.CPUs/s.GPUs)
+			f.perGPU.Mem = max(f.perGPU.Mem, s.Mem/s.GPUs)
+		}
+	}
+}
+
 // fits tells whether one more task of a job has room on a machine now.
 func (f *Fleet) fits(m *Machine, j *jobs.Job) bool {
 	s := j.Spec.Size()
@@ -45,6 +66,7 @@
 	if m.claimRank < f.rankOf(j) {
 		free = free.Sub(m.claim)
 	}
+	free = free.Sub(f.keeps(m, s, m.Size.GPUs-m.Use.GPUs))
 	if j.Spec.Kind == jobs.Array {
 		// Gangs already planned here wait only for their plan to be durable.
 		free = free.Sub(m.whole)
@@ -271,7 +293,7 @@
 			continue
 		}
 		f.works = f.work(f.works[:0], now, m, rank, j)
-		p.Initial = planner.Lanes(p.Initial, m.Size, size, f.works)
+		p.Initial = planner.Lanes(p.Initial, m.Size.Sub(f.keeps(m, size, m.Size.GPUs)), size, f.works)
 		if len(p.Initial) == len(lane) {
 			continue
 		}
@@ -630,7 +652,8 @@
 	for _, j := range f.order {
 		f.pass.lowest = min(f.pass.lowest, j.Level)
 	}
-	f.Steps += uint64(len(f.machines) + len(f.order))
+	f.share()
+	f.Steps += uint64(len(f.machines) + 2*len(f.order))
 	for _, j := range f.order {
 		if j.DoneN == j.N {
 			continue
