Plan writes leave room for submissions; refused users choose a controller anew

All were refused by the leader with 429: moves of planned tasks emptied its bucket every second. In trouble, users that got a 503 came back on the same connection to the controller that could do nothing for them. Excluded: the state service's own limit (no request was refused), latency (p95 29 ms).

Change: three classes share a bucket: safety may use all, submissions leave a tenth, plan writes leave a third. A 429 or 503 to a user closes the connection, so that the load balancer chooses again; it is still given at once, with Retry-After.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -297,12 +297,12 @@
 	c.fleet = fleet.New(fleet.Env{
 		Settings: c.s, Book: c.book, Rng: c.rng, TxnOps: c.s.Params.State.TxnOps - 1, Now: c.loop.Now, Learned: c.learned,
 		Types: func(ix int32) *fleet.Type { return c.byType[ix] },
-		Room:  func(n int) bool { return c.store.Room(n, store.Safety) },
+		Room:  func(n int) bool { return c.store.Room(n, store.Bulk) },
 		Spare: c.store.Spare,
 		Commit: func(t store.Txn, done func(store.Result)) {
 			t.If = append([]store.Cond{c.mem.Guard()}, t.If...)
 			f := c.fleet
-			c.store.Txn(t, store.Safety, func(r store.Result) {
+			c.store.Txn(t, store.Bulk, func(r store.Result) {
 				if c.fleet == f {
 					done(r)
 				}
--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -112,6 +112,9 @@
 func send(c fiber.Ctx, a Reply) error {
 	if a.RetryAfter > 0 {
 		c.Set("Retry-After", strconv.Itoa(a.RetryAfter))
+		// The load balancer chooses anew for a new connection, perhaps a controller that
+		// can do what this one can't.
+		c.Response().SetConnectionClose()
 	}
 	return c.Status(a.Status).JSON(a.Body)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -74,12 +74,17 @@
 // Class orders requests when the budget runs low.
 type Class uint8
 
-// Safety requests may use the whole budget; Ordinary ones leave a reserve.
+// Safety requests may use the whole budget. Ordinary ones, for which users wait, leave a
+// little of it, and Bulk ones, which come in floods, leave enough for those.
 const (
 	Safety Class = iota
 	Ordinary
+	Bulk
 )
 
+// reserves is the part of a bucket that each class leaves.
+var reserves = [...]float64{Safety: 0, Ordinary: 0.1, Bulk: 0.35}
+
 // Budget is a token bucket that leaves a reserve for safety.
 type Budget struct {
 	rate, burst, tokens float64
@@ -113,10 +118,7 @@
 		// One transaction may be larger than the bucket: it waits for a full one.
 		return b.tokens >= b.burst
 	}
-	if c == Safety {
-		return b.tokens >= n
-	}
-	return b.tokens >= n+b.burst*0.2
+	return b.tokens >= min(b.burst, n+b.burst*reserves[c])
 }
 
 // Take takes n; the bucket may go into debt after an oversized transaction.
