Launch a gang's tasks so that they get their images at about the same time

Excluded: lost machines (2 exits for missing peers).

Change: at the first launch the longest expected fetch of the gang is noted; a task whose own is shorter is launched later by the difference less a quarter of gang_wait_s.

--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -192,6 +192,19 @@
 			return nil
 		}
 		j.Attempt = f.nextAttempt()
+		j.GangAt, j.FetchS = now, 0
+		for t := range j.Tasks {
+			if k := &j.Tasks[t]; k.State == jobs.Planned {
+				j.FetchS = max(j.FetchS, f.fetchS(j, f.machines[k.Machine]))
+			}
+		}
+	}
+	// A task that has its image waits gang_wait_s for the others and then gives up, which
+	// costs the whole gang its start: where the image is at hand the launch is put off for
+	// as long as the others fetch it, less a good part of what the task may wait.
+	lead := j.FetchS - f.fetchS(j, m) - f.Settings.Params.Workers.GangWaitS/4
+	if now < j.GangAt+config.Seconds(lead) {
+		return nil
 	}
 	var out []Command
 	for _, t := range append([]int32(nil), m.Lanes[j.Index]...) {
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -26,7 +26,9 @@
 	DoneN    int // finished tasks, as far as known here
 	RunningN int // display only
 
-	Attempt uint64 // of a gang's current start
+	Attempt uint64        // of a gang's current start
+	GangAt  time.Duration // when that was
+	FetchS  float64       // the longest fetch that it waits for, in seconds
 	Level   int
 
 	// Dense indices of the names in the spec.
