Return idle machines sooner when there are more than chance calls for

Excluded: returns held up by the cloud's rate (none waited); boots.

Change: the time is shortened in proportion to how far the idle machines exceed a tenth of the fleet or twice the root of its size, whichever is more. A fleet of a few dozen is not touched.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -155,6 +155,7 @@
 	toReturn  map[string]string        // name -> cause
 	gone      map[string]time.Duration // returned when: lagging lists may still show them
 	listedAt  time.Duration
+	excess    float64       // see excess
 	zones     map[int32]int // acting machines by zone, when rent last looked
 }
 
@@ -288,16 +289,20 @@
 			c.toReturn[name] = "never came up"
 		}
 	}
-	up, silent := 0, 0
+	up, silent, idle := 0, 0, 0
 	limit := config.Seconds(c.Settings.Operator.SilentS)
 	for _, m := range c.Fleet.Machines() {
 		if m.Condition == fleet.Acting || m.Condition == fleet.Known {
 			up++
+			if len(m.On) == 0 && m.Planned == 0 {
+				idle++
+			}
 			if now-m.Heard > limit {
 				silent++
 			}
 		}
 	}
+	c.excess = excess(up, idle, c.Settings.Operator.Headroom)
 	// Many silent at once speak for a cut between us and them, not for their death.
 	trust := steady && silent > 0 && silent <= max(1, up/4)
 	for _, m := range c.Fleet.Machines() {
@@ -339,12 +344,22 @@
 	if c.Settings.MoneyCounts() {
 		s /= 2
 	}
+	s *= c.excess
 	if c.Fleet.Quiet() {
 		s = min(s, quietIdle)
 	}
 	return config.Seconds(s)
 }
 
+// excess shortens the time for which idle machines are kept when there are more of them
+// than chance calls for. Of a small fleet several may be idle at once and be needed the next
+// moment; the demand on a large one varies by about the root of its size, and what is idle
+// beyond that is not needed soon.
+func excess(up, idle int, headroom float64) float64 {
+	target := max(headroom*float64(up), 2*math.Sqrt(float64(up)))
+	return min(1, max(0.15, target/max(1, float64(idle))))
+}
+
 // overBudget tells whether more stands idle than the headroom allows.
 func (c *Manager) overBudget() bool {
 	all, idle := c.prices()
