Give up the largest jobs' deadlines in an overload

Change: arrays with a deadline are fitted, by due time, into what the machines can do; when too much must be done before a deadline, the largest job so far is given up (Moore and Hodgson) and ranks after those that can make it. Deadlines that an objective multiplies are aims of their own. The pool leaves out cores kept for accelerators, and only three quarters of it count.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -493,6 +493,10 @@
 			}
 		case "finished":
 			consider(j.At + config.Seconds(o.WithinS) - est)
+		case "deadline":
+			if j.Spec.DeadlineS != nil && o.Times > 1 {
+				consider(j.At + config.Seconds(*j.Spec.DeadlineS*o.Times) - est)
+			}
 		}
 	}
 	if !ok {
@@ -537,6 +541,7 @@
 		d, ok := f.due(now, j)
 		keys[j.Index] = rankKey{d, ok}
 	}
+	f.hopeless(now, keys)
 	f.sortByRank(f.order, keys)
 	clear(f.rank)
 	for i, j := range f.order {
--- /dev/null
+++ b/internal/fleet/overload.go
@@ -0,0 +1,113 @@
+package fleet
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/planner"
+)
+
+// claimant is a job with a deadline in an overload: its last task must start by due, and
+// before that the work, in resource-seconds, has to be fitted in.
+type claimant struct {
+	due  time.Duration
+	work planner.Size
+}
+
+// heaviest orders claimants by what they take of the scarcest resource, largest first.
+type heaviest struct {
+	cs    []claimant
+	share func(planner.Size) float64
+	ids   []int
+}
+
+func (h *heaviest) Len() int { return len(h.ids) }
+func (h *heaviest) Less(a, b int) bool {
+	x, y := h.share(h.cs[h.ids[a]].work), h.share(h.cs[h.ids[b]].work)
+	if x != y {
+		return x > y
+	}
+	return h.ids[a] < h.ids[b]
+}
+func (h *heaviest) Swap(a, b int) { h.ids[a], h.ids[b] = h.ids[b], h.ids[a] }
+func (h *heaviest) Push(x any)    { h.ids = append(h.ids, x.(int)) }
+func (h *heaviest) Pop() any {
+	x := h.ids[len(h.ids)-1]
+	h.ids = h.ids[:len(h.ids)-1]
+	return x
+}
+
+// longest is how many seconds a pool takes for an amount of work: that of the resource
+// which takes longest.
+func longest(work, pool planner.Size) float64 {
+	s := 0.0
+	for _, d := range [...][2]float64{{work.CPUs, pool.CPUs}, {work.GPUs, pool.GPUs}, {work.Mem, pool.Mem}} {
+		if d[0] > 1e-9 {
+			s = max(s, d[0]/max(d[1], 1e-9))
+		}
+	}
+	return s
+}
+
+// giveUp chooses which of several jobs can't all be done in time by a pool of machines, so
+// that as many as possible are: by due time, and whenever too much has to be done before one
+// the largest so far is given up (Moore and Hodgson). It returns who is given up.
+func giveUp(now time.Duration, cs []claimant, pool planner.Size) []bool {
+	late := make([]bool, len(cs))
+	order := make([]int, len(cs))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(cs[a].due, cs[b].due) })
+	h := &heaviest{cs: cs, share: func(s planner.Size) float64 { return longest(s, pool) }}
+	sum := planner.Size{}
+	for _, i := range order {
+		heap.Push(h, i)
+		sum = sum.Add(cs[i].work)
+		for h.Len() > 0 && longest(sum, pool) > (cs[i].due-now).Seconds() {
+			out := heap.Pop(h).(int)
+			late[out] = true
+			sum = sum.Sub(cs[out].work)
+		}
+	}
+	return late
+}
+
+// poolUse is the part of the machines that deadlines may count on.
+const poolUse = 0.75
+
+// hopeless marks the arrays whose next deadline is given up in an overload, so that those
+// which can still meet theirs are not starved by them. One that is given up may have a later
+// aim, which it is ranked by.
+func (f *Fleet) hopeless(now time.Duration, keys map[jobs.Index]rankKey) {
+	pool := planner.Size{}
+	for _, m := range f.machines {
+		if m.Condition == Acting && !m.Retiring {
+			pool = pool.Add(m.Size.Sub(f.keeps(m, planner.Size{}, m.Size.GPUs)))
+		}
+	}
+	var js []*jobs.Job
+	var cs []claimant
+	for _, j := range f.order {
+		n := j.Left()
+		k := keys[j.Index]
+		if j.Spec.Kind != jobs.Array || j.Spec.DeadlineS == nil || !k.ok || n == 0 {
+			pool = pool.Sub(j.Spec.Size().Times(float64(j.On())))
+			continue
+		}
+		js = append(js, j)
+		cs = append(cs, claimant{k.due, j.Spec.Size().Times(float64(n) * f.estimate(j))})
+	}
+	f.Steps += uint64(len(f.machines) + 2*len(js))
+	// Estimates are wrong, machines are lost and lanes never fill up quite: a set that only
+	// just fits would miss its deadlines one after the other.
+	pool = pool.Times(poolUse)
+	for i, late := range giveUp(now, cs, pool) {
+		if late {
+			keys[js[i].Index] = rankKey{due: cs[i].due}
+		}
+	}
+}
