Keep the machines of a silent zone

Excluded: real deaths (15 to 20 at once, spread over zones), spot machines taken without notice.

Change: a zone of which most machines have been silent for 0.6 of the limit counts as cut off. Its machines are kept for twice the time that getting them back takes, and none are rented there.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -155,14 +155,15 @@
 	toReturn  map[string]string        // name -> cause
 	gone      map[string]time.Duration // returned when: lagging lists may still show them
 	listedAt  time.Duration
-	excess    float64       // see excess
-	zones     map[int32]int // acting machines by zone, when rent last looked
+	excess    float64                 // see excess
+	cut       map[int32]time.Duration // silent zones, since when
+	zones     map[int32]int           // acting machines by zone, when rent last looked
 }
 
 // New starts a manager for a term.
 func New(s *config.Settings, c *Cloud, f *fleet.Fleet, d *jobs.Door, types func() []MachineType, term uint64) *Manager {
 	return &Manager{Settings: s, Cloud: c, Fleet: f, Door: d, Types: types, Term: term,
-		boots: map[string]*boot{}, zones: map[int32]int{}, refused: map[offer]time.Duration{}, toReturn: map[string]string{}, gone: map[string]time.Duration{}}
+		boots: map[string]*boot{}, zones: map[int32]int{}, cut: map[int32]time.Duration{}, refused: map[offer]time.Duration{}, toReturn: map[string]string{}, gone: map[string]time.Duration{}}
 }
 
 // Close ends the manager with its term. Answers that come later find a fleet whose tasks
@@ -289,6 +290,7 @@
 			c.toReturn[name] = "never came up"
 		}
 	}
+	c.findCuts(now)
 	up, silent, idle := 0, 0, 0
 	limit := config.Seconds(c.Settings.Operator.SilentS)
 	for _, m := range c.Fleet.Machines() {
@@ -307,6 +309,9 @@
 	trust := steady && silent > 0 && silent <= max(1, up/4)
 	for _, m := range c.Fleet.Machines() {
 		quiet := now - m.Heard
+		if at, ok := c.cut[m.Zone]; ok && quiet > limit && now-at < c.cutPatience(m) {
+			continue
+		}
 		switch m.Condition {
 		case fleet.Acting, fleet.Known:
 			switch {
@@ -329,6 +334,51 @@
 	}
 }
 
+// cutSize is the least number of machines of which a zone's silence can be told from theirs.
+const cutSize = 4
+
+// findCuts finds zones of which most machines are silent at once. They are cut off rather than
+// dead: returning them would cost a boot and all cached images, and what is rented there
+// would not be heard either.
+func (c *Manager) findCuts(now time.Duration) {
+	// Well before the first of them is given up, or many would be gone when it shows.
+	limit := config.Seconds(c.Settings.Operator.SilentS * 0.6)
+	all, silent := map[int32]int{}, map[int32]int{}
+	for _, m := range c.Fleet.Machines() {
+		if m.Condition == fleet.Gone || m.Zone == jobs.None {
+			continue
+		}
+		all[m.Zone]++
+		if now-m.Heard > limit {
+			silent[m.Zone]++
+		}
+	}
+	for zone, n := range all {
+		at, was := c.cut[zone]
+		switch is := n >= cutSize && 2*silent[zone] > n; {
+		case is && !was:
+			c.cut[zone] = now
+			slog.Info("zone is silent", "zone", c.Door.Zones.Name(zone), "machines", n, "silent", silent[zone], "term", c.Term)
+		case was && !is:
+			delete(c.cut, zone)
+			slog.Info("zone is heard again", "zone", c.Door.Zones.Name(zone), "after_s", int((now - at).Seconds()), "term", c.Term)
+		}
+	}
+}
+
+// cutPatience is how long a machine in a silent zone is kept: twice as long as getting it
+// back would take.
+func (c *Manager) cutPatience(m *fleet.Machine) time.Duration {
+	s := 60.0
+	if t := c.typ(m.Type); t != nil {
+		s = t.BootS
+		if t.FetchGB > 0 {
+			s += c.Fleet.ImageGB() / t.FetchGB
+		}
+	}
+	return config.Seconds(2 * s)
+}
+
 // idleLimit is how long a machine is kept idle. By default that is the time for which the
 // same money would be spent on getting it back: its boot and the fetch of one image. Nobody
 // can know whether work comes first, and this bounds the regret to twice the best choice.
@@ -580,7 +630,7 @@
 				if spot {
 					p = t.Spot
 				}
-				if p <= 0 || !j.Allows(ty, zone, spot) || now < c.refused[o] {
+				if _, cut := c.cut[zone]; cut || p <= 0 || !j.Allows(ty, zone, spot) || now < c.refused[o] {
 					continue
 				}
 				// A task must not take a GPU machine it has no use for, and zones are
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -229,3 +229,36 @@
 		t.Fatalf("condition became %v after the term", m.Condition)
 	}
 }
+
+// A zone that falls silent keeps its machines, however many there are, while a single silent
+// machine is given back: 219 machines behind a cut were once returned and booted again.
+func TestSilentZoneIsKept(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		b := setup(t)
+		b.Settings.Operator.IdleS = 1e6
+		seq := uint64(0)
+		hear := func(i int) {
+			seq++
+			b.Fleet.Report(b.cloud.now, &fleet.Report{Machine: fmt.Sprintf("i-%d", i), Addr: "x", Type: "m",
+				Zone: "ab"[i%2 : i%2+1], Session: 1, Seq: seq, Token: 1 << 20})
+		}
+		for step := range 15 {
+			b.cloud.now += time.Second
+			for i := range 40 {
+				silent := i == 1 || (cut && i%2 == 1)
+				// Reports of the silent ones stop one by one.
+				if !silent || step < i%4 {
+					hear(i)
+				}
+			}
+			b.judge(b.cloud.now, true)
+		}
+		want := 1
+		if cut {
+			want = 0
+		}
+		if len(b.toReturn) != want {
+			t.Fatalf("cut %v: %d machines to be returned, want %d: %v", cut, len(b.toReturn), want, b.toReturn)
+		}
+	}
+}
