Jobs that may use spot machines yield the ordinary ones to those that may not

Change: on ordinary machines of a type that some live job without spot needs, a task that may use spot counts half its run time (an array) or a tenth (a gang) as added load, in planning, in first fit and in stealing.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -83,13 +83,15 @@
 	nextPass time.Duration
 	// Steps counts the work of planning, in looks at a machine, lane or task. It paces the
 	// passes, and tests bound it.
-	Steps   uint64
-	ixs     []jobs.Index                 // scratch
-	works   []planner.Work               // scratch
-	perGPU  planner.Size                 // what waiting work takes besides, for each accelerator
-	pleaded map[jobs.Index]time.Duration // gangs that had others stopped, when last
-	news    bool                         // a plan became durable since the last push
-	barren  map[jobs.Index]time.Duration // arrays for which no machine was found, until when
+	Steps    uint64
+	ixs      []jobs.Index                 // scratch
+	works    []planner.Work               // scratch
+	perGPU   planner.Size                 // what waiting work takes besides, for each accelerator
+	ordinary map[int32]bool               // machine types that jobs which may not use spot need
+	kinds    map[int32]bool               // machine types seen
+	pleaded  map[jobs.Index]time.Duration // gangs that had others stopped, when last
+	news     bool                         // a plan became durable since the last push
+	barren   map[jobs.Index]time.Duration // arrays for which no machine was found, until when
 
 	// hints are the caches that the owner before inferred, until their machines are heard.
 	hints    map[string][]cached
@@ -115,7 +117,8 @@
 func New(env Env, term uint64, now time.Duration) *Fleet {
 	f := &Fleet{Env: env, Term: term, since: now, byName: map[string]*Machine{}, rank: map[jobs.Index]int{},
 		within: map[jobs.Index]bool{}, classes: map[int32]*classStats{}, LastReport: now,
-		hints: map[string][]cached{}, spread: map[jobs.Index]map[int32]int{}, barren: map[jobs.Index]time.Duration{}, pleaded: map[jobs.Index]time.Duration{}}
+		hints: map[string][]cached{}, spread: map[jobs.Index]map[int32]int{}, barren: map[jobs.Index]time.Duration{}, pleaded: map[jobs.Index]time.Duration{},
+		ordinary: map[int32]bool{}, kinds: map[int32]bool{}}
 	f.Ledger = quota.New(env.Settings.Params.Teams, env.Book.Door.Teams.Index)
 	return f
 }
@@ -161,6 +164,7 @@
 
 func (f *Fleet) size(m *Machine) {
 	if t := f.typ(m); t != nil {
+		f.kinds[m.Type] = true
 		m.Size = t.Size
 	}
 }
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -48,10 +48,37 @@
 	return f.perGPU.Times(idle)
 }
 
+// yields is by how many seconds a job that may use spot machines puts off an ordinary one
+// which live jobs that may not use spot could need: they have no other.
+func (f *Fleet) yields(m *Machine, j *jobs.Job) float64 {
+	if m.Spot || !j.Spec.Spot || !f.ordinary[m.Type] {
+		return 0
+	}
+	if j.Spec.Kind == jobs.Array {
+		return yieldArray * f.estimate(j)
+	}
+	return yieldGang * f.estimate(j)
+}
+
+// What part of its run time a task may wait for a spot machine: one of an array is moved
+// again if an ordinary machine stays free, a gang is not.
+const (
+	yieldArray = 0.5
+	yieldGang  = 0.1
+)
+
 // share finds what waiting work takes of a machine for each accelerator.
 func (f *Fleet) share() {
 	f.perGPU = planner.Size{}
+	clear(f.ordinary)
 	for _, j := range f.order {
+		if !j.Spec.Spot {
+			for ix := range f.kinds {
+				if t := f.Types(ix); t != nil && j.Allows(ix, j.Zone, false) && j.Spec.Size().Fits(t.Size) {
+					f.ordinary[ix] = true
+				}
+			}
+		}
 		if s := j.Spec.Size(); s.GPUs > 0 && j.Left() > 0 {
 			f.perGPU.CPUs = max(f.perGPU.CPUs, s.CPUs/s.GPUs)
 			f.perGPU.Mem = max(f.perGPU.Mem, s.Mem/s.GPUs)
@@ -310,6 +337,11 @@
 		if len(p.Initial) == len(lane) {
 			continue
 		}
+		if later := f.yields(m, j); later > 0 {
+			for i := len(lane); i < len(p.Initial); i++ {
+				p.Initial[i] += later
+			}
+		}
 		hosts++
 		has := m.HasImage(j.Image)
 		if ty := f.typ(m); ty != nil && ty.FetchGB > 0 {
@@ -498,7 +530,7 @@
 			p.at = f.freeIn(now, m, j)
 		}
 		// Differences below a second are none.
-		p.score = math.Floor(doubt*p.at + p.fetch)
+		p.score = math.Floor(doubt*p.at + p.fetch + f.yields(m, j))
 		ps = append(ps, p)
 	}
 	f.Steps += uint64(len(f.machines) + 4*len(ps))
@@ -820,7 +852,7 @@
 // sooner there, fetch included.
 func (f *Fleet) stealFor(now time.Duration, m *Machine, j *jobs.Job, ds *delays) {
 	size := j.Spec.Size()
-	sooner := f.fetchS(j, m) + 0.5
+	sooner := f.fetchS(j, m) + 0.5 + f.yields(m, j)
 	for range 64 {
 		if len(*ds) == 0 || (*ds)[0].wait <= sooner || !size.Fits(m.Free().Sub(m.need)) || !f.fits(m, j) {
 			return
