--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -262,3 +262,17 @@
 		}
 	}
 }
+
+// A small fleet may have several idle machines by chance; a large one has not, and returns
+// the more of them the sooner.
+func TestIdleBeyondChance(t *testing.T) {
+	if got := excess(20, 8, 0.1); got != 1 {
+		t.Fatalf("8 idle of 20 shorten the time to %v", got)
+	}
+	if got := excess(1000, 90, 0.1); got != 1 {
+		t.Fatalf("90 idle of 1000 shorten the time to %v", got)
+	}
+	if a, b := excess(1000, 200, 0.1), excess(1000, 350, 0.1); a >= 0.6 || b >= a || b < 0.15 {
+		t.Fatalf("200 and 350 idle of 1000 shorten the time to %v and %v", a, b)
+	}
+}
--- /dev/null
+++ b/internal/controller/controller_test.go
@@ -0,0 +1,28 @@
+package controller
+
+import (
+	"testing"
+
+	"github.com/harewalk/harewalk/internal/config"
+)
+
+// The shares of all controllers together stay within the state service's limits, rates and
+// bursts, for any number of controllers: five once had 1.3 times the rate between them.
+func TestSharesAddUp(t *testing.T) {
+	for n := 1; n <= 9; n++ {
+		s := &config.Settings{Peers: make([]config.Peer, n-1)}
+		s.Params.State = config.State{RPS: 120, WriteRPS: 30}
+		c := &Controller{s: s}
+		rps, writes, burst := 0.0, 0.0, 0.0
+		for i := range n {
+			h := c.share(i == 0)
+			if h.RPS <= 0 || h.WriteRPS <= 0 {
+				t.Fatalf("controller %d of %d has no share", i, n)
+			}
+			rps, writes, burst = rps+h.RPS, writes+h.WriteRPS, burst+h.WriteRPS*h.BurstS
+		}
+		if rps > 120+1e-9 || writes > 30+1e-9 || burst > 30+1e-9 {
+			t.Fatalf("%d controllers: %v requests, %v writes a second, %v at once", n, rps, writes, burst)
+		}
+	}
+}
--- a/internal/fleet/guards_test.go
+++ b/internal/fleet/guards_test.go
@@ -27,9 +27,13 @@
 }
 
 func newRig(t *testing.T, term uint64, kv map[string]json.RawMessage) *rig {
+	return newRigOf(t, term, kv, []config.Team{{Name: "t", CPUsMax: 4}})
+}
+
+func newRigOf(t *testing.T, term uint64, kv map[string]json.RawMessage, teams []config.Team) *rig {
 	g := &rig{t: t, kv: kv, rev: 100 * term}
 	s := &config.Settings{}
-	s.Params.Teams = []config.Team{{Name: "t", CPUsMax: 4}}
+	s.Params.Teams = teams
 	s.Params.Workers = config.Workers{ReportS: 3, LeaseS: 20, GangWaitS: 20, GangPeerS: 5, CancelS: 40}
 	s.Params.State.ValueKB = 8
 	s.Operator.NetworkFactor = 1
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"sort"
 	"testing"
 )
 
@@ -240,3 +241,42 @@
 		t.Fatalf("spread over two zones takes two, got %v", got)
 	}
 }
+
+// Lanes against the slow plain model: the lanes sorted anew for every piece of work.
+func TestLanesAgainstThePlainModel(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 3))
+	for n := range 500 {
+		m := Size{CPUs: float64(1 + rng.IntN(16)), Mem: float64(8 + rng.IntN(64))}
+		task := Size{CPUs: 0.5 + 3*rng.Float64(), Mem: 1}
+		var work []Work
+		for range rng.IntN(20) {
+			work = append(work, Work{Size{CPUs: m.CPUs * rng.Float64()}, float64(rng.IntN(50))})
+		}
+		lanes := task.Copies(m)
+		want := make([]float64, lanes)
+		for _, w := range work {
+			order := make([]int, lanes)
+			for i := range order {
+				order[i] = i
+			}
+			sort.SliceStable(order, func(a, b int) bool { return want[order[a]] < want[order[b]] })
+			width := min(lanes, max(1, int(math.Round(w.Size.CPUs/m.CPUs*float64(lanes)))))
+			if lanes == 0 {
+				break
+			}
+			start := want[order[width-1]]
+			for _, i := range order[:width] {
+				want[i] = start + w.Left
+			}
+		}
+		got := Lanes([]float64{7}, m, task, work)
+		if len(got) != lanes+1 || got[0] != 7 {
+			t.Fatalf("problem %d: %v, want %d lanes appended", n, got, lanes)
+		}
+		for i, w := range want {
+			if !near(got[i+1], w) {
+				t.Fatalf("problem %d: lane %d is loaded %v, want %v", n, i, got[i+1], w)
+			}
+		}
+	}
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -67,6 +67,26 @@
 	}
 }
 
+// Floods of plan writes must leave room for submissions: the leader's once got 429, one in
+// ten of them on a quiet day.
+func TestPlanWritesLeaveRoomForUsers(t *testing.T) {
+	b := store.NewBudget(18, 0.8)
+	for b.Has(0, 1, store.Bulk) {
+		b.Take(1)
+	}
+	users := 0
+	for b.Has(0, 1, store.Ordinary) {
+		b.Take(1)
+		users++
+	}
+	if users < 3 {
+		t.Fatalf("room for %d submissions after a flood of plan writes", users)
+	}
+	if !b.Has(0, 1, store.Safety) {
+		t.Fatal("no room left for safety")
+	}
+}
+
 func TestOutcomes(t *testing.T) {
 	now := time.Duration(0)
 	l := &line{svc: statetest.New()}
