--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -171,19 +171,28 @@
 	}
 }
 
-// A job that may use spot machines leaves the ordinary ones to a job that may not.
+// A job that may use spot machines leaves the ordinary ones to a job that may not, even if it
+// has to wait a little for that.
 func TestSpotJobsYieldOrdinaryMachines(t *testing.T) {
 	g := mixed(t)
-	g.see("ordinary", "gpu", false)
+	half := func(n int, estimate float64) *jobs.Job {
+		s := spec(n, 2)
+		s.CPUs, s.GPUs, s.Mem, s.Spot, s.EstimateS = 6, 1, 40, true, estimate
+		return g.submit(s)
+	}
 	g.see("spot", "gpu", true)
-	g.submit(gang(1, 4, "t")) // may not use spot, and keeps waiting
-	s := spec(2, 2)
-	s.CPUs, s.GPUs, s.Mem, s.Spot, s.EstimateS = 6, 1, 40, true, 60
-	j := g.submit(s)
+	half(1, 20)
 	g.settle(store.Committed)
+	if cs := starts(g.see("spot", "gpu", true)); len(cs) != 2 {
+		t.Fatalf("started %v on the only machine", cs)
+	}
+	g.see("ordinary", "gpu", false)
+	g.submit(gang(2, 4, "t")) // may not use spot, and keeps waiting
+	j := half(3, 100)
+	g.Tick(g.now, false)
 	for i := range j.Tasks {
 		if m := j.Tasks[i].Machine; m == jobs.None || !g.machines[m].Spot {
-			t.Fatalf("task %d is not on the spot machine", i)
+			t.Fatalf("task %d is not planned on the spot machine", i)
 		}
 	}
 }
