--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -189,6 +189,7 @@
 	g.see("ordinary", "gpu", false)
 	g.submit(gang(2, 4, "t")) // may not use spot, and keeps waiting
 	j := half(3, 100)
+	g.now += 100 * time.Millisecond
 	g.Tick(g.now, false)
 	for i := range j.Tasks {
 		if m := j.Tasks[i].Machine; m == jobs.None || !g.machines[m].Spot {
