--- a/internal/fleet/overload.go
+++ b/internal/fleet/overload.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/harewalk/harewalk/internal/config"
 	"github.com/harewalk/harewalk/internal/jobs"
 	"github.com/harewalk/harewalk/internal/planner"
 )
@@ -80,9 +79,6 @@
 // poolUse is the part of the machines that deadlines may count on.
 const poolUse = 0.75
 
-// lateness is by what part of its estimate a job's last task is expected to end late.
-const lateness = 0.3
-
 // hopeless marks the arrays whose next deadline is given up in an overload, so that those
 // which can still meet theirs are not starved by them. One that is given up may have a later
 // aim, which it is ranked by.
@@ -102,11 +98,8 @@
 			pool = pool.Sub(j.Spec.Size().Times(float64(j.On())))
 			continue
 		}
-		// The last task's image, its slower machine and its wrong estimate come on top.
-		room := k.due - now
-		room -= min(room/2, config.Seconds(lateness*f.estimate(j)+2*f.Settings.Params.Workers.ReportS))
 		js = append(js, j)
-		cs = append(cs, claimant{now + room, j.Spec.Size().Times(float64(n) * f.estimate(j))})
+		cs = append(cs, claimant{k.due, j.Spec.Size().Times(float64(n) * f.estimate(j))})
 	}
 	f.Steps += uint64(len(f.machines) + 2*len(js))
 	// Estimates are wrong, machines are lost and lanes never fill up quite: a set that only
@@ -114,7 +107,7 @@
 	pool = pool.Times(poolUse)
 	for i, late := range giveUp(now, cs, pool) {
 		if late {
-			keys[js[i].Index] = rankKey{due: keys[js[i].Index].due}
+			keys[js[i].Index] = rankKey{due: cs[i].due}
 		}
 	}
 }
