--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -1,7 +1,10 @@
 package fleet
 
 import (
+	"fmt"
 	"log/slog"
+	"sort"
+	"strings"
 	"time"
 
 	"github.com/harewalk/harewalk/internal/jobs"
@@ -87,11 +90,21 @@
 		}
 		size, use = size.Add(m.Size), use.Add(m.Use)
 	}
+	byClass := map[int32]int{}
 	for _, j := range f.order {
 		waiting += j.Left()
+		byClass[j.Class] += j.Left()
 	}
+	var classes []string
+	for c, n := range byClass {
+		if n > 0 {
+			classes = append(classes, fmt.Sprintf("%s:%d", f.Book.Door.Classes.Name(c), n))
+		}
+	}
+	sort.Strings(classes)
 	slog.Info("fleet", "term", f.Term, "acting", acting, "other", other, "spot", spot, "idle", idle, "cpus", int(size.CPUs),
-		"cpus_used", int(use.CPUs), "gpus", int(size.GPUs), "gpus_used", int(use.GPUs), "jobs", len(f.order), "waiting", waiting)
+		"cpus_used", int(use.CPUs), "gpus", int(size.GPUs), "gpus_used", int(use.GPUs), "jobs", len(f.order), "waiting", waiting,
+		"by_class", strings.Join(classes, " "))
 }
 
 // ImageGB is the mean size of the images that live jobs need.
