--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -63,7 +63,7 @@
 // What part of its run time a task may wait for a spot machine: one of an array is moved
 // again if an ordinary machine stays free, a gang is not.
 const (
-	yieldArray = 1.0
+	yieldArray = 0.5
 	yieldGang  = 0.1
 )
 
