--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -516,11 +516,6 @@
 	ok  bool
 }
 
-// gangWeight is by how much, for each second of its tasks' run time together, a gang ranks
-// behind what is due at the same time: while one that needs many machines waits for them, several
-// small ones can be served, and each of them is one job whose aim is met.
-const gangWeight = 0.05
-
 // Rank orders the live jobs: what lies within its team's guarantee first, then by
 // priority, then the latest start that still meets an aim; jobs past all aims come last, oldest
 // first.
@@ -548,9 +543,6 @@
 		demand[j.Team] = sum
 		f.within[j.Index] = f.Ledger.Within(j.Team, s, sum)
 		d, ok := f.due(now, j)
-		if j.Spec.Kind == jobs.Gang {
-			d += config.Seconds(gangWeight * float64(j.N) * f.estimate(j))
-		}
 		keys[j.Index] = rankKey{d, ok}
 	}
 	f.hopeless(now, keys)
