--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -402,6 +402,8 @@
 		return
 	}
 	f.ranked = 0
+	delete(f.barren, j.Index)
+	delete(f.pleaded, j.Index)
 	if j.Tasks == nil {
 		return
 	}
