Arrays given up in an overload change places only with arrays that are not

Given-up arrays ranked behind every job without a deadline, and on a small fleet the pool is too uncertain for that.

Change: they only change places with arrays of the same rank that can still meet their deadline.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -547,8 +547,8 @@
 		d, ok := f.due(now, j)
 		keys[j.Index] = rankKey{d, ok}
 	}
-	f.hopeless(now, keys)
 	f.sortByRank(f.order, keys)
+	f.yieldPlaces(now, keys)
 	clear(f.rank)
 	for i, j := range f.order {
 		f.rank[j.Index] = i
--- a/internal/fleet/overload.go
+++ b/internal/fleet/overload.go
@@ -79,10 +79,10 @@
 // poolUse is the part of the machines that deadlines may count on.
 const poolUse = 0.75
 
-// hopeless marks the arrays whose next deadline is given up in an overload, so that those
-// which can still meet theirs are not starved by them. One that is given up may have a later
-// aim, which it is ranked by.
-func (f *Fleet) hopeless(now time.Duration, keys map[jobs.Index]rankKey) {
+// yieldPlaces lets the arrays whose next deadline is given up in an overload change places
+// with those that can still meet theirs. All other jobs keep their ranks: an array that was
+// moved behind every job without a deadline lost more than the overload took (harmonia).
+func (f *Fleet) yieldPlaces(now time.Duration, keys map[jobs.Index]rankKey) {
 	pool := planner.Size{}
 	for _, m := range f.machines {
 		if m.Condition == Acting && !m.Retiring {
@@ -91,23 +91,37 @@
 	}
 	var js []*jobs.Job
 	var cs []claimant
-	for _, j := range f.order {
+	var places []int // in f.order
+	for at, j := range f.order {
 		n := j.Left()
 		k := keys[j.Index]
 		if j.Spec.Kind != jobs.Array || j.Spec.DeadlineS == nil || !k.ok || n == 0 {
 			pool = pool.Sub(j.Spec.Size().Times(float64(j.On())))
 			continue
 		}
-		js = append(js, j)
+		js, places = append(js, j), append(places, at)
 		cs = append(cs, claimant{k.due, j.Spec.Size().Times(float64(n) * f.estimate(j))})
 	}
 	f.Steps += uint64(len(f.machines) + 2*len(js))
 	// Estimates are wrong, machines are lost and lanes never fill up quite: a set that only
 	// just fits would miss its deadlines one after the other.
 	pool = pool.Times(poolUse)
-	for i, late := range giveUp(now, cs, pool) {
-		if late {
-			keys[js[i].Index] = rankKey{due: cs[i].due}
+	late := giveUp(now, cs, pool)
+	for lo := 0; lo < len(js); {
+		// Only within a rank that may not preempt the other.
+		hi := lo + 1
+		for hi < len(js) && js[hi].Level == js[lo].Level && f.within[js[hi].Index] == f.within[js[lo].Index] {
+			hi++
 		}
+		at := lo
+		for _, given := range []bool{false, true} {
+			for i := lo; i < hi; i++ {
+				if late[i] == given {
+					f.order[places[at]] = js[i]
+					at++
+				}
+			}
+		}
+		lo = hi
 	}
 }
