Make room only where a spread gang may use it; keep no cores for work at its team's limit

Found by reading: a gang that must be spread over zones could have tasks stopped on machines that it may not use, again every 5 s; and cores beside accelerators were kept for work that its team's limit keeps waiting. The help text speaks of any number of controllers.

--- a/cmd/harewalk/main.go
+++ b/cmd/harewalk/main.go
@@ -54,7 +54,7 @@
 	cmd := &cobra.Command{
 		Use:   "harewalk",
 		Short: "A cluster scheduler: rents machines, takes jobs and decides what runs where",
-		Long: "harewalk runs as three controllers that share a small state service. Users submit jobs\n" +
+		Long: "harewalk runs as three, five or more controllers that share a small state service. Users submit jobs\n" +
 			"over HTTP or with this command; workers on rented machines report to the controllers.\n\n" +
 			"Exit codes: 0 success, 1 failure, 2 wrong arguments or settings, 3 job refused.",
 		SilenceUsage:  true,
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -79,7 +79,8 @@
 				}
 			}
 		}
-		if s := j.Spec.Size(); s.GPUs > 0 && j.Left() > 0 {
+		// What its team's limit keeps waiting needs no room.
+		if s := j.Spec.Size(); s.GPUs > 0 && j.Left() > 0 && f.Ledger.Fits(j.Team, s, 1) {
 			f.perGPU.CPUs = max(f.perGPU.CPUs, s.CPUs/s.GPUs)
 			f.perGPU.Mem = max(f.perGPU.Mem, s.Mem/s.GPUs)
 		}
--- a/internal/fleet/preempt.go
+++ b/internal/fleet/preempt.go
@@ -106,6 +106,26 @@
 	cost float64 // seconds until the task could start, wasted work counted as delay
 }
 
+// spread takes the first n, at most perZone of a zone (0: no bound), or none at all: room that
+// a gang may not use would be made again and again.
+func spread(ss []sacrifice, n, perZone int) []sacrifice {
+	used := map[int32]int{}
+	out := make([]sacrifice, 0, n)
+	for _, s := range ss {
+		if len(out) == n {
+			break
+		}
+		if perZone == 0 || used[s.m.Zone] < perZone {
+			used[s.m.Zone]++
+			out = append(out, s)
+		}
+	}
+	if len(out) < n {
+		return nil
+	}
+	return out
+}
+
 // preemptFor makes room for a gang on the machines where it can start soonest, one for each
 // task and in one zone if need be, counting wasted work as delay. start is when it would
 // start without.
@@ -142,7 +162,9 @@
 		slices.SortFunc(ss, func(a, b sacrifice) int {
 			return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.m.Index, b.m.Index))
 		})
-		ss = ss[:j.N]
+		if ss = spread(ss, j.N, j.Spec.ZoneLimit()); ss == nil {
+			continue
+		}
 		a, b := ss[j.N-1], sacrifice{cost: math.Inf(1)}
 		if best != nil {
 			b = best[j.N-1]
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -145,6 +145,21 @@
 	}
 }
 
+// Room is only made where a gang may use it: at most half of one that must be spread in a zone.
+func TestPreemptionKeepsToZones(t *testing.T) {
+	var ss []sacrifice
+	for i, zone := range []int32{0, 0, 0, 1, 1} {
+		ss = append(ss, sacrifice{m: &Machine{Index: int32(i), Zone: zone}, cost: float64(i)})
+	}
+	got := spread(ss, 4, 2)
+	if len(got) != 4 || got[2].m.Index != 3 {
+		t.Fatalf("%d machines chosen", len(got))
+	}
+	if spread(ss[:3], 3, 2) != nil || len(spread(ss, 4, 0)) != 4 {
+		t.Fatal("a zone's bound was not kept, or kept where there is none")
+	}
+}
+
 // A gang's task that has its image is launched later than those that fetch, or it gives up
 // waiting for them and the gang's start is lost.
 func TestGangLaunchesWaitForFetches(t *testing.T) {
