Judge machines four times a second, count running tasks, list ended jobs

Machines are judged every 250 ms (their limits are seconds), running tasks are counted where the phase changes, ended jobs stand in a list, and ties are broken by number instead of by a stable sort.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -150,6 +150,7 @@
 	returning bool
 	nextList  time.Duration
 	nextRent  time.Duration
+	nextJudge time.Duration
 	page      string
 	gathered  []listed
 	toReturn  map[string]string        // name -> cause
@@ -179,13 +180,19 @@
 	})
 }
 
+// judgeEvery spaces the looks at every machine. All that they judge is counted in seconds.
+const judgeEvery = 250 * time.Millisecond
+
 // Tick does what is due. steady tells that this controller has had authority, and so
 // has heard every worker that could reach it, for long enough to judge silence.
 func (c *Manager) Tick(now time.Duration, steady bool) {
 	if !c.listing && now >= c.nextList {
 		c.list(now)
 	}
-	c.judge(now, steady)
+	if now >= c.nextJudge {
+		c.nextJudge = now + judgeEvery
+		c.judge(now, steady)
+	}
 	c.giveBack(now)
 	// The list must have been read once, or machines already at hand are rented again.
 	if c.listedAt > 0 && !c.renting && now >= c.nextRent {
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -59,15 +59,8 @@
 // Faulty tells whether a machine fails what runs on it: several jobs in a row.
 func (f *Fleet) Faulty(m *Machine) bool { return m.errors >= 2 }
 
-// Counts fills in what is displayed of a job.
-func (f *Fleet) Counts(j *jobs.Job) (done, running int) {
-	for t := range j.Tasks {
-		if j.Tasks[t].State == jobs.OnMachine && j.Tasks[t].Phase >= jobs.Running {
-			running++
-		}
-	}
-	return j.DoneN, running
-}
+// Counts is what is displayed of a job.
+func (f *Fleet) Counts(j *jobs.Job) (done, running int) { return j.DoneN, j.Runs }
 
 // Summary logs how full the fleet is, for operators who follow an incident.
 func (f *Fleet) Summary(now time.Duration) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -104,6 +104,7 @@
 	writing bool
 	retry   func(time.Duration)
 	retryAt time.Duration
+	over    []*jobs.Job // ended, with tasks that may still be on machines or plans that stand
 	garbage []string
 	// LastReport is when any worker was last heard.
 	LastReport time.Duration
@@ -237,6 +238,11 @@
 			f.gangDone(now, j)
 		}
 	})
+	f.Book.All(func(j *jobs.Job) {
+		if j.Stance.Terminal() && j.Tasks != nil {
+			f.over = append(f.over, j)
+		}
+	})
 	f.loaded = true
 	f.Rank(now)
 	slog.Info("plans loaded", "term", f.Term, "keys", len(items), "jobs", len(f.order), "machines", len(f.machines))
@@ -308,7 +314,8 @@
 	f.must(j.Set(t, to))
 	if to == jobs.Planned {
 		k.Machine = m.Index
-		k.Attempt, k.Phase, k.Halting = 0, jobs.NoPhase, false
+		j.Enter(t, jobs.NoPhase)
+		k.Attempt, k.Halting = 0, false
 		f.lane(m, j, t)
 	}
 }
@@ -411,6 +418,7 @@
 	if j.Tasks == nil {
 		return
 	}
+	f.over = append(f.over, j)
 	slog.Info("job ended", "job", j.ID, "stance", j.Stance.String(), "term", f.Term)
 	for _, ix := range f.waitsAt(j) {
 		m := f.machines[ix]
--- a/internal/fleet/guards_test.go
+++ b/internal/fleet/guards_test.go
@@ -16,7 +16,7 @@
 // rig is one fleet whose writes and direct commands the test answers by hand.
 type rig struct {
 	*Fleet
-	t      *testing.T
+	t      testing.TB
 	now    time.Duration
 	kv     map[string]json.RawMessage
 	rev    uint64
@@ -26,11 +26,11 @@
 	seq    uint64
 }
 
-func newRig(t *testing.T, term uint64, kv map[string]json.RawMessage) *rig {
+func newRig(t testing.TB, term uint64, kv map[string]json.RawMessage) *rig {
 	return newRigOf(t, term, kv, []config.Team{{Name: "t", CPUsMax: 4}})
 }
 
-func newRigOf(t *testing.T, term uint64, kv map[string]json.RawMessage, teams []config.Team) *rig {
+func newRigOf(t testing.TB, term uint64, kv map[string]json.RawMessage, teams []config.Team) *rig {
 	g := &rig{t: t, kv: kv, rev: 100 * term}
 	s := &config.Settings{}
 	s.Params.Teams = teams
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -407,14 +407,14 @@
 			ms = append(ms, m)
 		}
 	}
-	slices.SortStableFunc(ms, func(a, b *Machine) int {
+	slices.SortFunc(ms, func(a, b *Machine) int {
 		if a.Spot != b.Spot {
 			if a.Spot {
 				return -1
 			}
 			return 1
 		}
-		return cmp.Compare(len(b.On), len(a.On))
+		return cmp.Or(cmp.Compare(len(b.On), len(a.On)), cmp.Compare(a.Index, b.Index))
 	})
 	f.Steps += uint64(2 * len(ms))
 	f.pass.packed = ms
@@ -541,7 +541,7 @@
 		ps = append(ps, p)
 	}
 	f.Steps += uint64(len(f.machines) + 4*len(ps))
-	slices.SortStableFunc(ps, func(x, y prospect) int {
+	slices.SortFunc(ps, func(x, y prospect) int {
 		if x.score != y.score {
 			return cmp.Compare(x.score, y.score)
 		}
@@ -974,23 +974,8 @@
 		}
 		calls := f.starts(now, m)
 		started := len(calls)
-		halts := m.halts
-		m.halts = false
-		for r := range m.On {
-			if !halts {
-				break
-			}
-			j := f.job(r.Job)
-			k := &j.Tasks[r.Task]
-			m.halts = m.halts || k.Halting
-			if k.Halting && k.State == jobs.OnMachine && k.Phase != jobs.Saving && now-k.HaltBy > time.Second {
-				grace := j.Spec.SaveS + 1
-				if j.Stance.Terminal() {
-					grace = 0
-				}
-				k.HaltBy = now
-				calls = append(calls, Command{Op: opStop, Task: taskName(j, r.Task), Attempt: k.Attempt, GraceS: &grace})
-			}
+		if m.halts {
+			calls = append(calls, f.stops(now, m)...)
 		}
 		if len(calls) == 0 {
 			continue
@@ -999,6 +984,25 @@
 	}
 }
 
+// stops tells a machine's tasks that must go to stop, again if they have not after a second.
+func (f *Fleet) stops(now time.Duration, m *Machine) (calls []Command) {
+	m.halts = false
+	for r := range m.On {
+		j := f.job(r.Job)
+		k := &j.Tasks[r.Task]
+		m.halts = m.halts || k.Halting
+		if k.Halting && k.State == jobs.OnMachine && k.Phase != jobs.Saving && now-k.HaltBy > time.Second {
+			grace := j.Spec.SaveS + 1
+			if j.Stance.Terminal() {
+				grace = 0
+			}
+			k.HaltBy = now
+			calls = append(calls, Command{Op: opStop, Task: taskName(j, r.Task), Attempt: k.Attempt, GraceS: &grace})
+		}
+	}
+	return calls
+}
+
 // direct sends one direct request and keeps track of launches whose arrival stays open.
 func (f *Fleet) direct(now time.Duration, m *Machine, calls []Command, started int) {
 	m.ordering, m.pushed = true, now
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -206,7 +206,7 @@
 		k.RunSince = now
 	}
 	if k.Phase != p {
-		k.Phase = p
+		j.Enter(t, p)
 		m.endsOK = false
 	}
 }
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/harewalk/harewalk/internal/jobs"
@@ -183,14 +184,9 @@
 
 // sweep removes plans of jobs that are over and have nothing on any machine any more.
 func (f *Fleet) sweep() {
-	f.Book.All(func(j *jobs.Job) {
-		if !j.Stance.Terminal() || j.Tasks == nil {
-			return
-		}
-		for t := range j.Tasks {
-			if j.Tasks[t].State.Occupies() {
-				return
-			}
+	f.over = slices.DeleteFunc(f.over, func(j *jobs.Job) bool {
+		if j.On() > 0 {
+			return false
 		}
 		for _, c := range j.Chunks {
 			if c.Version != 0 {
@@ -198,6 +194,7 @@
 			}
 		}
 		j.Tasks, j.Chunks = nil, nil
+		return true
 	})
 	n := min(len(f.garbage), f.TxnOps, 8)
 	if n == 0 || !f.Room(n*2) {
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -22,6 +22,7 @@
 	Tasks  []Task
 	Chunks []*Chunk
 	In     [Finished + 1]int // tasks by state, kept by Set
+	Runs   int               // tasks that run or save, kept by Enter
 
 	DoneN    int // finished tasks, as far as known here
 	RunningN int // display only
@@ -195,6 +196,7 @@
 // Recall drops what only the job's planner needs: after losing the lead.
 func (b *Book) Recall() {
 	for _, j := range b.jobs {
+		j.Runs = 0
 		j.Tasks, j.Chunks, j.Closing, j.Started, j.GangDone, j.Attempt = nil, nil, false, false, false, 0
 		clear(j.ZoneUse)
 		clear(j.Avoid)
--- a/internal/jobs/task.go
+++ b/internal/jobs/task.go
@@ -91,7 +91,8 @@
 			k.Halting = false // a stop was meant for an earlier start
 		}
 		if to == Unplanned || to == Finished {
-			k.Phase, k.Halting, k.Late, k.Attempt = NoPhase, false, false, 0
+			j.Enter(t, NoPhase)
+			k.Halting, k.Late, k.Attempt = false, false, 0
 			if to == Unplanned {
 				k.Machine = None
 			}
@@ -104,6 +105,17 @@
 	return fmt.Errorf("task %s/%d cannot go from %s to %s", j.ID, t, k.State, to)
 }
 
+// Enter is the only place where a task's phase changes.
+func (j *Job) Enter(t int32, p Phase) {
+	k := &j.Tasks[t]
+	if k.Phase >= Running {
+		j.Runs--
+	}
+	if k.Phase = p; p >= Running {
+		j.Runs++
+	}
+}
+
 // ChunkTasks is how many tasks share one key of the durable plan. Even with every task on
 // a machine of its own the value stays well below 8 KiB.
 const ChunkTasks = 256
@@ -150,7 +162,7 @@
 		}
 		j.Chunks = append(j.Chunks, c)
 	}
-	j.DoneN = 0
+	j.DoneN, j.Runs = 0, 0
 	j.In = [Finished + 1]int{Unplanned: j.N}
 }
 
