--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -201,15 +201,8 @@
 	}
 }
 
-// A list has pages of listPage machines, and all of them together may take listShare of the
-// cloud's rate: those of a thousand machines once left half of it for renting.
-const (
-	listPage  = 500
-	listShare = 0.2
-)
-
 func (c *Manager) list(now time.Duration) {
-	path := fmt.Sprintf("/machines?limit=%d", listPage)
+	path := "/machines?limit=500"
 	if c.page != "" {
 		path += "&since=" + url.QueryEscape(c.page)
 	}
@@ -231,8 +224,7 @@
 		}
 		all := c.gathered
 		c.page, c.gathered = "", nil
-		pages := math.Ceil(float64(max(1, len(all))) / listPage)
-		c.nextList = at + config.Seconds(max(2, c.Settings.Params.Cloud.ListLagS/2, pages/(listShare*c.Settings.Params.Cloud.RPS)))
+		c.nextList = at + config.Seconds(max(2, c.Settings.Params.Cloud.ListLagS/2))
 		c.take(at, all)
 	})
 }
