--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -206,7 +206,7 @@
 	if o.HoldTTLMS == 0 {
 		// A third of the worker lease leaves room for a takeover and a fenced
 		// report before any lease ends.
-		o.HoldTTLMS = max(2000, min(4000, int(w.LeaseS*1000/5)))
+		o.HoldTTLMS = max(2000, min(6000, int(w.LeaseS*1000/3)))
 	}
 	if o.SilentS == 0 {
 		o.SilentS = min(w.LeaseS, 3*w.ReportS+4)
