--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -147,7 +147,7 @@
 	})
 	fail := make(chan error, 1)
 	go func() {
-		fail <- intake.Serve(public, intake.Routes{Post: c.loop.Offer, Now: c.loop.Now, Intake: c.in, Up: c.up,
+		fail <- intake.Serve(public, intake.Routes{Post: c.loop.Offer, PostReport: c.loop.OfferWorker, Now: c.loop.Now, Intake: c.in, Up: c.up,
 			Report: c.report, MaxConns: c.s.Params.Limits.Sockets * 7 / 10})
 	}()
 	slog.Info("serving", "node", c.s.Node, "public", c.s.Public, "hold_ms", c.s.Operator.HoldTTLMS,
@@ -295,7 +295,7 @@
 	c.store.SetShare(c.share(true))
 	c.book.Recall()
 	c.fleet = fleet.New(fleet.Env{
-		Settings: c.s, Book: c.book, Rng: c.rng, TxnOps: c.s.Params.State.TxnOps - 1, Now: c.loop.Now, Learned: c.learned,
+		Settings: c.s, Book: c.book, Rng: c.rng, TxnOps: c.s.Params.State.TxnOps - 1, MaxOrders: workerSlots, Now: c.loop.Now, Learned: c.learned,
 		Types: func(ix int32) *fleet.Type { return c.byType[ix] },
 		Room:  func(n int) bool { return c.store.Room(n, store.Bulk) },
 		Spare: c.store.Spare,
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/harewalk/harewalk/internal/config"
 )
@@ -26,3 +28,29 @@
 		}
 	}
 }
+
+// A controller that falls behind takes its own answers first, then reports, then users, each
+// in their order, and refuses at once what it has no room for.
+func TestUrgentMessagesGoFirst(t *testing.T) {
+	l := NewLoop(time.Now())
+	var got strings.Builder
+	say := func(s string) func() { return func() { got.WriteString(s) } }
+	for _, s := range []string{"u1 ", "u2 "} {
+		l.Offer(say(s))
+	}
+	l.OfferWorker(say("w "))
+	l.Post(say("a "))
+	for f := l.next(); f != nil; f = l.next() {
+		f()
+	}
+	if got.String() != "a w u1 u2 " {
+		t.Fatalf("order %q", got.String())
+	}
+	n := 0
+	for l.Offer(func() {}) {
+		n++
+	}
+	if n != maxQueue || !l.OfferWorker(func() {}) {
+		t.Fatalf("%d messages of users taken, and no report after them", n)
+	}
+}
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -2,18 +2,36 @@
 
 import "time"
 
-// Loop is the one goroutine that owns all state. I/O goroutines only post to it.
+// class orders the messages that wait for the event loop.
+type class uint8
+
+// The classes, most urgent first: answers to our own requests, on which the authority to
+// act depends; reports of workers, whose leases run; and users.
+const (
+	urgent class = iota
+	worker
+	user
+	classes
+)
+
+// Loop is the one goroutine that owns all state. I/O goroutines only post to it. A controller
+// that falls behind works through its own answers first, then reports, then users: once the
+// renewals of its hold stood in line with a thousand polls.
 type Loop struct {
-	msgs  chan func()
+	msgs  [classes]chan func()
 	start time.Time
 }
 
-// maxQueue bounds the messages that wait.
-const maxQueue = 4096
+// maxQueue bounds the messages that wait in each class.
+const maxQueue = 2048
 
 // NewLoop makes a loop; its steady clock starts now.
 func NewLoop(start time.Time) *Loop {
-	return &Loop{msgs: make(chan func(), maxQueue), start: start}
+	l := &Loop{start: start}
+	for i := range l.msgs {
+		l.msgs[i] = make(chan func(), maxQueue)
+	}
+	return l
 }
 
 // Now is the steady clock.
@@ -21,15 +39,33 @@
 
 // Post hands over a message and waits for room: for answers to our own requests, whose
 // number is bounded where they are sent.
-func (l *Loop) Post(f func()) { l.msgs <- f }
+func (l *Loop) Post(f func()) { l.msgs[urgent] <- f }
+
+// OfferWorker hands over a worker's report unless too many wait.
+func (l *Loop) OfferWorker(f func()) bool { return l.offer(worker, f) }
+
+// Offer hands over any other message from outside unless too many wait.
+func (l *Loop) Offer(f func()) bool { return l.offer(user, f) }
 
-// Offer hands over a message unless the queue is nearly full: for requests from outside.
-func (l *Loop) Offer(f func()) bool {
-	if len(l.msgs) > maxQueue/2 {
+func (l *Loop) offer(c class, f func()) bool {
+	select {
+	case l.msgs[c] <- f:
+		return true
+	default:
 		return false
 	}
-	l.msgs <- f
-	return true
+}
+
+// next takes the most urgent message that waits, or nil.
+func (l *Loop) next() func() {
+	for _, ch := range l.msgs {
+		select {
+		case f := <-ch:
+			return f
+		default:
+		}
+	}
+	return nil
 }
 
 // Run works through messages and calls tick at every step of the interval.
@@ -38,10 +74,23 @@
 	defer t.Stop()
 	for {
 		select {
-		case f := <-l.msgs:
+		case <-t.C:
+			tick(l.Now())
+		default:
+		}
+		if f := l.next(); f != nil {
 			f()
+			continue
+		}
+		select {
 		case <-t.C:
 			tick(l.Now())
+		case f := <-l.msgs[urgent]:
+			f()
+		case f := <-l.msgs[worker]:
+			f()
+		case f := <-l.msgs[user]:
+			f()
 		}
 	}
 }
--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -127,3 +127,29 @@
 		t.Fatalf("%d steps for machines without room, with %d tasks waiting", g.Steps-before, waiting)
 	}
 }
+
+// What can't be sent now stays planned, and goes out when there is room: launches beyond the
+// bound once counted as sent and came to nothing.
+func TestDirectCommandsAreBounded(t *testing.T) {
+	g := newRigOf(t, 1, map[string]json.RawMessage{}, []config.Team{{Name: "t"}})
+	g.MaxOrders = 3
+	for i := range 10 {
+		g.see(fmt.Sprintf("m%d", i), "ty", false)
+	}
+	j := g.submit(spec(1, 40))
+	g.settle(store.Committed) // without authority: planned and durable, nothing sent
+	answered := 0
+	for range 10 {
+		g.now += 100 * time.Millisecond
+		g.Tick(g.now, true)
+		if open := len(g.orders) - answered; open > 3 || j.In[jobs.Launched] != 4*len(g.sent) {
+			t.Fatalf("%d commands under way, %d sent, %d tasks launched", open, len(g.sent), j.In[jobs.Launched])
+		}
+		for ; answered < len(g.orders); answered++ {
+			g.orders[answered](nil, true)
+		}
+	}
+	if j.In[jobs.Launched] != 40 {
+		t.Fatalf("%d of 40 tasks launched", j.In[jobs.Launched])
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,6 +54,8 @@
 	Now func() time.Duration
 	// TxnOps bounds the operations of one transaction.
 	TxnOps int
+	// MaxOrders bounds the direct commands under way; 0: no bound.
+	MaxOrders int
 }
 
 // Fleet is the owner's state.
@@ -101,11 +103,12 @@
 	shard    int    // written last
 	imagesAt time.Duration
 
-	writing bool
-	retry   func(time.Duration)
-	retryAt time.Duration
-	over    []*jobs.Job // ended, with tasks that may still be on machines or plans that stand
-	garbage []string
+	ordering int // direct commands under way
+	writing  bool
+	retry    func(time.Duration)
+	retryAt  time.Duration
+	over     []*jobs.Job // ended, with tasks that may still be on machines or plans that stand
+	garbage  []string
 	// LastReport is when any worker was last heard.
 	LastReport time.Duration
 }
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -965,6 +965,12 @@
 // reports. A machine has at most one such request under way.
 func (f *Fleet) push(now time.Duration) {
 	for _, m := range f.machines {
+		if f.MaxOrders > 0 && f.ordering >= f.MaxOrders {
+			// The rest stays where it is planned: what can't be sent now must not count as
+			// launched.
+			f.news = true
+			return
+		}
 		if m.Condition != Acting || m.ordering || m.fencing || m.Addr == "" || now-m.Heard > config.Seconds(f.Settings.Params.Workers.ReportS*1.6) ||
 			now-m.pushed < 200*time.Millisecond {
 			continue
@@ -1006,6 +1012,7 @@
 // direct sends one direct request and keeps track of launches whose arrival stays open.
 func (f *Fleet) direct(now time.Duration, m *Machine, calls []Command, started int) {
 	m.ordering, m.pushed = true, now
+	f.ordering++
 	session := m.Session
 	var sent []attempt
 	for _, c := range calls[:started] {
@@ -1015,6 +1022,7 @@
 	}
 	f.Order(m, Orders{Token: m.Token, Session: session, Commands: calls}, func(r *Report, ok bool) {
 		m.ordering = false
+		f.ordering--
 		for _, a := range sent {
 			// The job may have ended and been swept while the request was under way.
 			if j := f.job(a.Job); ok && j.Tasks != nil && j.Tasks[a.Task].Attempt == a.n {
--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -12,14 +12,14 @@
 	"github.com/harewalk/harewalk/internal/jobs"
 )
 
-// Routes are the entries to the event loop, called from connection goroutines. Post
-// returns false if the loop's queue is full.
+// Routes are the entries to the event loop, called from connection goroutines. Post and, for
+// workers, PostReport return false if the loop's queue is full.
 type Routes struct {
-	Post   func(func()) bool
-	Now    func() time.Duration
-	Intake *Intake
-	Up     func() bool
-	Report func(now time.Duration, r *fleet.Report, reply func(Reply))
+	Post, PostReport func(func()) bool
+	Now              func() time.Duration
+	Intake           *Intake
+	Up               func() bool
+	Report           func(now time.Duration, r *fleet.Report, reply func(Reply))
 	// MaxConns bounds open connections.
 	MaxConns int
 }
@@ -50,7 +50,7 @@
 		},
 	})
 	app.Get("/up", func(c fiber.Ctx) error {
-		return r.ask(c, userWait, func(reply func(Reply)) {
+		return r.ask(c, r.Post, userWait, func(reply func(Reply)) {
 			if r.Up() {
 				reply(Reply{Status: 200, Body: struct {
 					OK bool `json:"ok"`
@@ -65,30 +65,36 @@
 		if err != nil {
 			return send(c, refuse(400, err.Error()))
 		}
-		return r.ask(c, userWait, func(reply func(Reply)) { r.Intake.Submit(r.Now(), spec, reply) })
+		return r.ask(c, r.Post, userWait, func(reply func(Reply)) { r.Intake.Submit(r.Now(), spec, reply) })
 	})
 	app.Get("/v2/runs/:id", func(c fiber.Ctx) error {
 		id := string([]byte(c.Params("id")))
-		return r.ask(c, 1800*time.Millisecond, func(reply func(Reply)) { r.Intake.Query(r.Now(), id, reply) })
+		return r.ask(c, r.Post, 1800*time.Millisecond, func(reply func(Reply)) { r.Intake.Query(r.Now(), id, reply) })
 	})
 	app.Post("/v2/runs/:id/abort", func(c fiber.Ctx) error {
 		id := string([]byte(c.Params("id")))
-		return r.ask(c, userWait, func(reply func(Reply)) { r.Intake.Abort(r.Now(), id, reply) })
+		return r.ask(c, r.Post, userWait, func(reply func(Reply)) { r.Intake.Abort(r.Now(), id, reply) })
 	})
 	app.Post("/checkin", func(c fiber.Ctx) error {
 		rep, err := fleet.ParseReport(c.Body())
 		if err != nil {
 			return send(c, refuse(400, "not a report"))
 		}
-		return r.ask(c, workerWait, func(reply func(Reply)) { r.Report(r.Now(), rep, reply) })
+		return r.ask(c, r.PostReport, workerWait, func(reply func(Reply)) { r.Report(r.Now(), rep, reply) })
 	})
 	return app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 }
 
-// ask hands a request to the event loop and waits for its answer.
-func (r Routes) ask(c fiber.Ctx, wait time.Duration, f func(reply func(Reply))) error {
+// ask hands a request to the event loop and waits for its answer. A request that has waited
+// too long is refused here and passed over there: nobody would hear the answer, and whoever
+// falls behind must not work for them.
+func (r Routes) ask(c fiber.Ctx, post func(func()) bool, wait time.Duration, f func(reply func(Reply))) error {
 	ch := make(chan Reply, 1)
-	ok := r.Post(func() {
+	late := r.Now() + wait
+	ok := post(func() {
+		if r.Now() >= late {
+			return
+		}
 		f(func(a Reply) {
 			select {
 			case ch <- a:
