--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -95,7 +95,10 @@
 		}
 	}
 	sort.Strings(classes)
-	slog.Info("fleet", "term", f.Term, "acting", acting, "other", other, "spot", spot, "idle", idle, "cpus", int(size.CPUs),
+	took := max(1, (now - max(f.summed, f.since)).Seconds())
+	reports, orders := float64(f.reports)/took, float64(f.orders)/took
+	f.reports, f.orders, f.summed = 0, 0, now
+	slog.Info("fleet", "term", f.Term, "reports_s", int(reports), "orders_s", int(orders), "acting", acting, "other", other, "spot", spot, "idle", idle, "cpus", int(size.CPUs),
 		"cpus_used", int(use.CPUs), "gpus", int(size.GPUs), "gpus_used", int(use.GPUs), "jobs", len(f.order), "waiting", waiting,
 		"by_class", strings.Join(classes, " "))
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -111,6 +111,9 @@
 	garbage  []string
 	// LastReport is when any worker was last heard.
 	LastReport time.Duration
+	// Since the last summary: reports taken and direct commands sent.
+	reports, orders int
+	summed          time.Duration
 }
 
 // classStats corrects a class's estimates by what was seen.
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -1013,6 +1013,7 @@
 func (f *Fleet) direct(now time.Duration, m *Machine, calls []Command, started int) {
 	m.ordering, m.pushed = true, now
 	f.ordering++
+	f.orders++
 	session := m.Session
 	var sent []attempt
 	for _, c := range calls[:started] {
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -25,6 +25,7 @@
 // Report takes over one report that came as a request and answers it. The caller has
 // checked that this controller has authority.
 func (f *Fleet) Report(now time.Duration, r *Report) (Answer, Verdict) {
+	f.reports++
 	m, v := f.take(now, r, false)
 	if v != Accept {
 		return Answer{}, v
