Bound tasks, waiting bytes, records, connections and requests by the settings

Cause: read with the smaller memory in mind, some things were bounded in number only. Twenty arrays of 100,000 tasks take 160 MB of a leader (80 bytes a task), 400 waiting submissions of 64 KiB 25 MB, 1,750 connections with a body of 64 KiB each 112 of 168 MB; and a record larger than the state service's values was refused with 503 again and again. Now the bounds come from machine_limits and the state's settings and are refused at once: 429 with Retry-After, 422 for what can never be stored. A limit that can't serve at all (no cores, under 24 MB, under 32 sockets) is an error that names the field; one that is not given is no longer taken for 0.

--- a/cmd/harewalk/main.go
+++ b/cmd/harewalk/main.go
@@ -128,6 +128,9 @@
 			o := s.Operator
 			fmt.Fprintf(c.OutOrStdout(), "hold_ttl_ms = %d\nsilent_s = %g\nidle_s = %g\nheadroom = %g\nmax_machines = %d\nnetwork_factor = %g\n",
 				o.HoldTTLMS, o.SilentS, o.IdleS, o.Headroom, o.MaxMachines, o.NetworkFactor)
+			l := s.Params.Limits
+			fmt.Fprintf(c.OutOrStdout(), "connections taken = %d\nunfinished tasks = %d\nbytes of waiting submissions = %d\n",
+				l.Conns(), l.Tasks(), l.QueueBytes())
 			return nil
 		},
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -64,13 +64,54 @@
 	ListLagS float64 `json:"list_lag_s" validate:"gte=0"`
 }
 
-// Limits says how large a machine the controller itself runs on.
+// Limits says how large a machine the controller itself runs on; nil where that is not given.
+// With less than what the rules ask for it can't serve at all: it needs 12 MB before it has
+// heard of anything, and a connection for each outside system and controller.
 type Limits struct {
-	Cores   float64 `json:"cores" validate:"gte=0"`
-	MemMB   float64 `json:"mem_mb" validate:"gte=0"`
-	Sockets int     `json:"sockets" validate:"gte=0"`
+	Cores   *float64 `json:"cores" validate:"omitnil,gt=0"`
+	MemMB   *float64 `json:"mem_mb" validate:"omitnil,gte=24"`
+	Sockets *int     `json:"sockets" validate:"omitnil,gte=32"`
 }
 
+// What is assumed of a machine of which the settings say nothing.
+const (
+	anyCores   = 1.0
+	anyMemMB   = 512.0
+	anySockets = 1024
+)
+
+func or[T any](given *T, otherwise T) T {
+	if given != nil {
+		return *given
+	}
+	return otherwise
+}
+
+// Processor is the share of cores to be used.
+func (l Limits) Processor() float64 { return or(l.Cores, anyCores) }
+
+// Memory is the most memory to be used, in MB.
+func (l Limits) Memory() float64 { return or(l.MemMB, anyMemMB) }
+
+// Conns is how many connections are taken from outside. Each may hold a request body of
+// the largest size at the same time, and those together leave room for the rest.
+func (l Limits) Conns() int {
+	return max(1, min(or(l.Sockets, anySockets)*7/10, int(l.Memory()*0.6*(1<<20)/MaxBody)))
+}
+
+// Outgoing is how many requests of a kind may be under way, at most most.
+func (l Limits) Outgoing(most int) int { return max(4, min(most, or(l.Sockets, anySockets)/10)) }
+
+// MaxBody is the protocol's bound on a request's body.
+const MaxBody = 64 << 10
+
+// Tasks is how many unfinished tasks are kept: a task takes about 80 bytes, and twice that
+// while plans are read after a takeover.
+func (l Limits) Tasks() int { return int(l.Memory() * 2000) }
+
+// QueueBytes bounds the submissions that wait to be stored.
+func (l Limits) QueueBytes() int { return int(l.Memory() * 0.03 * (1 << 20)) }
+
 // Services are the addresses of the outside systems.
 type Services struct {
 	Cloud string `json:"cloud" validate:"required,hostport"`
@@ -216,10 +257,8 @@
 	}
 	if o.MaxMachines == 0 {
 		// Every machine takes a connection, and memory for its tasks and plans.
-		o.MaxMachines = 500
-		if l := s.Params.Limits; l.Sockets > 0 && l.MemMB > 0 {
-			o.MaxMachines = max(1, min(l.Sockets*6/10, int(l.MemMB*8)))
-		}
+		l := s.Params.Limits
+		o.MaxMachines = max(1, min(or(l.Sockets, anySockets)*6/10, l.Conns(), int(l.Memory()*8)))
 	}
 	if o.NetworkFactor == 0 {
 		o.NetworkFactor = 1
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -33,6 +33,9 @@
 		`"gpus":4.0`:                    {`"gpus":-4.0`, `params.teams[0].gpus`},
 		`"teams":[{"name":"t",`:         {`"teams":[{"name":"t"},{"name":"t",`, `params.teams`},
 		`"public_addr":"10.0.0.1:8080"`: {`"public_addr":7`, `public_addr`},
+		`"cores":0.3`:                   {`"cores":0.0`, `params.machine_limits.cores`},
+		`"mem_mb":179.0`:                {`"mem_mb":8.0`, `params.machine_limits.mem_mb`},
+		`"sockets":1200`:                {`"sockets":0`, `params.machine_limits.sockets`},
 	} {
 		_, err := Parse([]byte(strings.Replace(settings, old, bad[0], 1)))
 		if err == nil || !strings.Contains(err.Error(), bad[1]) {
@@ -41,6 +44,35 @@
 	}
 }
 
+// Sizes come from the limits that are given; what is merely small works, and what is not given
+// is not 0.
+func TestLimits(t *testing.T) {
+	sizes := func(limits string) (l Limits, machines int) {
+		s, err := Parse([]byte(strings.Replace(settings, `{"cores":0.3,"mem_mb":179.0,"sockets":1200}`, limits, 1)))
+		if err != nil {
+			t.Fatalf("%s: %v", limits, err)
+		}
+		return s.Params.Limits, s.Operator.MaxMachines
+	}
+	for _, c := range []struct {
+		limits          string
+		conns, machines int
+	}{
+		{`{"cores":0.18,"mem_mb":130.0,"sockets":1200}`, 840, 720},
+		{`{"cores":0.18,"mem_mb":168.0,"sockets":2500}`, 1612, 1344},
+		{`{"cores":0.01,"mem_mb":24.0,"sockets":32}`, 22, 19},
+		{`{}`, 716, 614},
+	} {
+		l, machines := sizes(c.limits)
+		if l.Conns() != c.conns || machines != c.machines || l.Tasks() < MaxBody/2 || l.Processor() <= 0 {
+			t.Errorf("%s: %d connections, %d machines, %d tasks", c.limits, l.Conns(), machines, l.Tasks())
+		}
+		if worst := float64(l.Conns()*MaxBody) / (1 << 20); worst > 0.61*l.Memory() {
+			t.Errorf("%s: bodies may take %.0f of %.0f MB", c.limits, worst, l.Memory())
+		}
+	}
+}
+
 func TestOperatorsFile(t *testing.T) {
 	dir := t.TempDir()
 	file := func(name, body string) string {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -43,7 +43,7 @@
 	otherBurst  = 1.25
 )
 
-// Requests in flight: to the state service and the cloud, and to workers. The two don't
+// Most requests in flight: to the state service and the cloud, and to workers. The two don't
 // share slots, or workers that hang behind a cut would keep holds from being renewed.
 const (
 	serviceSlots = 48
@@ -94,16 +94,17 @@
 
 // New builds a controller that is not yet listening.
 func New(s *config.Settings) *Controller {
-	if mb := s.Params.Limits.MemMB; mb > 0 {
+	if s.Params.Limits.MemMB != nil {
 		// Stay clear of the limit at which the process would be ended.
-		debug.SetMemoryLimit(int64(mb * 0.7 * (1 << 20)))
+		debug.SetMemoryLimit(int64(s.Params.Limits.Memory() * 0.7 * (1 << 20)))
 	}
 	start := time.Now()
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(s.Node))
 	c := &Controller{s: s, loop: NewLoop(start), status: map[string]heard{}, byType: map[int32]*fleet.Type{},
 		rng: rand.New(rand.NewPCG(seed.Sum64(), uint64(start.UnixNano())))}
-	c.send, c.wire = httpio.New(serviceSlots, c.loop.Post), httpio.New(workerSlots, c.loop.Post)
+	c.send = httpio.New(s.Params.Limits.Outgoing(serviceSlots), c.loop.Post)
+	c.wire = httpio.New(s.Params.Limits.Outgoing(workerSlots), c.loop.Post)
 	c.store = store.New(s.Services.State, c.send, c.loop.Now, c.share(false), s.Params.State.TxnOps)
 	c.book = jobs.NewBook(start.UnixMilli())
 	c.quota = quota.New(s.Params.Teams, c.book.Door.Teams.Index)
@@ -116,7 +117,8 @@
 	c.mir.OnReset = func(items []store.Item) { c.mem.Reset(c.loop.Now(), items) }
 	c.mir.OnSynced = func() { c.mem.Synced(c.loop.Now()) }
 	c.in = intake.New(intake.Env{Store: c.store, Book: c.book, Admit: c.admit, Ready: c.mir.Synced,
-		Counts: c.counts, Learned: c.learned, TxnOps: s.Params.State.TxnOps})
+		Counts: c.counts, Learned: c.learned, TxnOps: s.Params.State.TxnOps, MaxTasks: s.Params.Limits.Tasks(),
+		MaxBytes: s.Params.Limits.QueueBytes(), MaxValue: int(s.Params.State.ValueKB * 1024)})
 	return c
 }
 
@@ -148,7 +150,7 @@
 	fail := make(chan error, 1)
 	go func() {
 		fail <- intake.Serve(public, intake.Routes{Post: c.loop.Offer, PostReport: c.loop.OfferWorker, Now: c.loop.Now, Intake: c.in, Up: c.up,
-			Report: c.report, MaxConns: c.s.Params.Limits.Sockets * 7 / 10})
+			Report: c.report, MaxConns: c.s.Params.Limits.Conns()})
 	}()
 	slog.Info("serving", "node", c.s.Node, "public", c.s.Public, "hold_ms", c.s.Operator.HoldTTLMS,
 		"money_counts", c.s.MoneyCounts(), "objectives", len(c.s.Params.Objectives))
@@ -295,7 +297,7 @@
 	c.store.SetShare(c.share(true))
 	c.book.Recall()
 	c.fleet = fleet.New(fleet.Env{
-		Settings: c.s, Book: c.book, Rng: c.rng, TxnOps: c.s.Params.State.TxnOps - 1, MaxOrders: workerSlots, Now: c.loop.Now, Learned: c.learned,
+		Settings: c.s, Book: c.book, Rng: c.rng, TxnOps: c.s.Params.State.TxnOps - 1, MaxOrders: c.s.Params.Limits.Outgoing(workerSlots), Now: c.loop.Now, Learned: c.learned,
 		Types: func(ix int32) *fleet.Type { return c.byType[ix] },
 		Room:  func(n int) bool { return c.store.Room(n, store.Bulk) },
 		Spare: c.store.Spare,
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -895,10 +895,7 @@
 		f.schedule(now)
 		// Planning leaves most of the processor to reports and renewals: the next pass
 		// comes the later the more this one had to look at.
-		cores := f.Settings.Params.Limits.Cores
-		if cores <= 0 {
-			cores = 1
-		}
+		cores := f.Settings.Params.Limits.Processor()
 		f.nextPass = now + time.Duration(float64(f.Steps-before)*float64(stepPause)/cores)
 	}
 	f.Flush(now)
--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -8,6 +8,7 @@
 
 	"github.com/gofiber/fiber/v3"
 
+	"github.com/harewalk/harewalk/internal/config"
 	"github.com/harewalk/harewalk/internal/fleet"
 	"github.com/harewalk/harewalk/internal/jobs"
 )
@@ -33,8 +34,8 @@
 // Serve answers HTTP on a listener until it is closed.
 func Serve(ln net.Listener, r Routes) error {
 	app := fiber.New(fiber.Config{
-		BodyLimit:   64<<10 + 1,
-		Concurrency: max(64, r.MaxConns),
+		BodyLimit:   config.MaxBody + 1,
+		Concurrency: r.MaxConns,
 		ReadTimeout: 90 * time.Second,
 		IdleTimeout: 90 * time.Second,
 		ErrorHandler: func(c fiber.Ctx, err error) error {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -59,6 +59,9 @@
 	Learned func(now time.Duration, it store.Item)
 	// TxnOps bounds a transaction.
 	TxnOps int
+	// MaxTasks bounds the unfinished tasks of all jobs, which a leader keeps in memory;
+	// MaxBytes the submissions that wait to be stored; MaxValue what can be stored of one.
+	MaxTasks, MaxBytes, MaxValue int
 }
 
 type submit struct {
@@ -78,6 +81,7 @@
 type Intake struct {
 	Env
 	submits    []submit
+	bytes      int // of the records in submits
 	submitting bool
 	checks     []check
 	checking   bool
@@ -134,12 +138,26 @@
 		reply(refuse(503, "the state service does not answer"))
 		return
 	}
-	if len(n.submits) >= maxSubmits {
-		reply(refuse(429, "too many submissions"))
+	raw := jobs.EncodeRecord(jobs.Pending, n.Book.WallMS(now), s.Tasks, s)
+	if len(raw) > n.MaxValue {
+		reply(refuse(422, "the job's description is larger than what can be stored of a job"))
 		return
 	}
-	raw := jobs.EncodeRecord(jobs.Pending, n.Book.WallMS(now), s.Tasks, s)
-	n.submits = append(n.submits, submit{s, raw, reply})
+	// Every job is taken for itself; together they must fit the leader's memory.
+	if live := n.Book.LiveTasks(); live > 0 && live+s.Tasks > n.MaxTasks {
+		reply(refuse(429, "too many unfinished tasks"))
+		return
+	}
+	n.enqueue(now, submit{s, raw, reply})
+}
+
+// enqueue lets a submission wait to be stored, if there is room.
+func (n *Intake) enqueue(now time.Duration, s submit) {
+	if len(n.submits) >= maxSubmits || n.bytes+len(s.raw) > n.MaxBytes {
+		s.reply(refuse(429, "too many submissions"))
+		return
+	}
+	n.submits, n.bytes = append(n.submits, s), n.bytes+len(s.raw)
 	n.flush(now)
 }
 
@@ -164,7 +182,7 @@
 			for _, s := range n.submits {
 				s.reply(refuse(429, "the state service is at its limit"))
 			}
-			n.submits = nil
+			n.submits, n.bytes = nil, 0
 			return
 		}
 	}
@@ -172,6 +190,7 @@
 	n.submits = n.submits[k:]
 	t := store.Txn{}
 	for _, s := range batch {
+		n.bytes -= len(s.raw)
 		key := jobs.RecordKey(s.spec.ID)
 		t.If = append(t.If, store.Cond{Key: key})
 		t.Then = append(t.Then, store.Op{Put: key, Value: s.raw})
@@ -198,10 +217,8 @@
 		case store.Conflict:
 			if failed[key] {
 				n.reread(s.spec.ID, s.reply, false)
-			} else if len(n.submits) < maxSubmits {
-				n.submits = append(n.submits, s)
 			} else {
-				s.reply(refuse(429, "too many submissions"))
+				n.enqueue(now, s)
 			}
 		case store.Unknown:
 			// It may have been stored: only a read can tell. If it was not, it may yet
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -57,7 +57,7 @@
 	d := &desk{svc: svc}
 	st := store.New("", d, func() time.Duration { return svc.Now }, store.Share{RPS: 1e6, WriteRPS: 1e6, BurstS: 0.8}, 24)
 	book := jobs.NewBook(0)
-	d.Intake = New(Env{Store: st, Book: book, Ready: func() bool { return true }, TxnOps: 24,
+	d.Intake = New(Env{Store: st, Book: book, Ready: func() bool { return true }, TxnOps: 24, MaxTasks: 3000, MaxBytes: 1 << 20, MaxValue: 8 << 10,
 		Admit: func(s *jobs.Spec) (bool, bool, string) {
 			return s.Team == "t", s.Team != "unknown yet", "team"
 		},
@@ -151,6 +151,47 @@
 	}
 }
 
+// What a leader can't keep in memory, or the state service can't store, is refused at once:
+// twenty arrays of the largest size would have ended every leader one after the other.
+func TestSizesAreBounded(t *testing.T) {
+	svc := statetest.New()
+	d := newDesk(svc)
+	large := func(n, tasks int) *jobs.Spec {
+		s := job(n)
+		s.Tasks = tasks
+		return s
+	}
+	if r := d.submit(t, large(1, 100_000)); r.Status != 201 {
+		t.Fatalf("one job alone: %+v", r)
+	}
+	if r := d.submit(t, large(2, 1)); r.Status != 429 || r.RetryAfter == 0 {
+		t.Fatalf("beyond the bound: %+v", r)
+	}
+	if r := d.submit(t, large(1, 100_000)); r.Status != 200 {
+		t.Fatalf("the first again: %+v", r)
+	}
+	d.abort(t, "req-000001")
+	for i, want := range []int{201, 201, 429} {
+		if r := d.submit(t, large(3+i, 1500)); r.Status != want {
+			t.Fatalf("job %d after the abort: %+v", i, r)
+		}
+	}
+	wide := job(9)
+	wide.Class = strings.Repeat("c", 9<<10)
+	if r := newDesk(statetest.New()).submit(t, wide); r.Status != 422 {
+		t.Fatalf("more than a value holds: %+v", r)
+	}
+	n := map[int]int{}
+	e := newDesk(statetest.New())
+	e.MaxBytes = 20 * len(jobs.EncodeRecord(jobs.Pending, 0, 3, job(1)))
+	for i := range 100 {
+		e.Submit(0, job(i), func(r Reply) { n[r.Status]++ })
+	}
+	if e.run(); n[201] < 20 || n[201] > 22 || n[201]+n[429] != 100 || e.bytes != 0 {
+		t.Fatalf("answers %v, %d bytes left", n, e.bytes)
+	}
+}
+
 // A lost answer is resolved by a read: 201 and 200 are said only of what is stored.
 func TestOpenOutcomes(t *testing.T) {
 	svc := statetest.New()
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -115,6 +115,7 @@
 	byID  map[string]Index
 	jobs  []*Job
 	live  map[Index]*Job
+	tasks int   // of live jobs
 	epoch int64 // wall-clock milliseconds at steady time 0
 	Door  *Door
 }
@@ -138,6 +139,9 @@
 // Len is the number of jobs known.
 func (b *Book) Len() int { return len(b.jobs) }
 
+// LiveTasks is the number of tasks of all jobs that are not terminal.
+func (b *Book) LiveTasks() int { return b.tasks }
+
 // Live calls f for every job that is not terminal; the order is not defined.
 func (b *Book) Live(f func(*Job)) {
 	for _, j := range b.live {
@@ -179,6 +183,13 @@
 // setStance is the only place where a job's stance changes.
 func (b *Book) setStance(j *Job, st Stance) {
 	j.Stance = st
+	if _, was := b.live[j.Index]; was != !st.Terminal() {
+		if was {
+			b.tasks -= j.N
+		} else {
+			b.tasks += j.N
+		}
+	}
 	if st.Terminal() {
 		delete(b.live, j.Index)
 		if st == Done {
