Count silence from when authority began

The state service answered nobody from 229 to 237 s; the leader lost its authority, refused reports, and when it had it again all three zones counted as cut off for half a second (142 of 202, 191 of 272, 143 of 215 machines silent), in which nothing is rented there. Silence is now counted from when authority began. A test holds both cases.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -142,6 +142,7 @@
 	Term     uint64
 
 	closed    bool
+	since     time.Duration // of authority, see Tick
 	claims    uint64
 	boots     map[string]*boot
 	refused   map[offer]time.Duration
@@ -183,15 +184,16 @@
 // judgeEvery spaces the looks at every machine. All that they judge is counted in seconds.
 const judgeEvery = 250 * time.Millisecond
 
-// Tick does what is due. steady tells that this controller has had authority, and so
-// has heard every worker that could reach it, for long enough to judge silence.
-func (c *Manager) Tick(now time.Duration, steady bool) {
+// Tick does what is due. since is when this controller last came by its authority: before it
+// no worker could make itself heard, so that silence only counts from then on.
+func (c *Manager) Tick(now, since time.Duration) {
+	c.since = since
 	if !c.listing && now >= c.nextList {
 		c.list(now)
 	}
 	if now >= c.nextJudge {
 		c.nextJudge = now + judgeEvery
-		c.judge(now, steady)
+		c.judge(now, now-since > config.Seconds(c.Settings.Operator.SilentS))
 	}
 	c.giveBack(now)
 	// The list must have been read once, or machines already at hand are rented again.
@@ -283,7 +285,8 @@
 	}
 }
 
-// judge finds machines that should go: boots that never come up, silent and faulty
+// judge finds machines that should go, if steady tells that authority has lasted long enough
+// to hear every worker that can reach this controller: boots that never come up, silent and faulty
 // machines, and idle ones where money counts.
 func (c *Manager) judge(now time.Duration, steady bool) {
 	for name, b := range c.boots {
@@ -356,7 +359,7 @@
 			continue
 		}
 		all[m.Zone]++
-		if now-m.Heard > limit {
+		if now-max(m.Heard, c.since) > limit {
 			silent[m.Zone]++
 		}
 	}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -99,6 +99,8 @@
 	cloud *cloud
 	book  *jobs.Book
 	rev   uint64
+	// authority is since when the manager acts.
+	authority time.Duration
 }
 
 func setup(t *testing.T) *bench {
@@ -118,7 +120,7 @@
 		Room:   func(int) bool { return true },
 		Commit: func(store.Txn, func(store.Result)) {}}, 1, 0)
 	f.Load(0, nil)
-	b := &bench{cloud: c, book: book}
+	b := &bench{cloud: c, book: book, authority: -time.Hour}
 	b.Manager = New(s, NewCloud("", c, now, 100), f, book.Door, func() []MachineType { return types }, 1)
 	return b
 }
@@ -137,7 +139,7 @@
 
 func (b *bench) runFor(d time.Duration) {
 	for end := b.cloud.now + d; b.cloud.now < end; b.cloud.now += 100 * time.Millisecond {
-		b.Tick(b.cloud.now, true)
+		b.Tick(b.cloud.now, b.authority)
 		for len(b.cloud.hold) > 0 && !b.cloud.held {
 			f := b.cloud.hold[0]
 			b.cloud.hold = b.cloud.hold[1:]
@@ -263,6 +265,26 @@
 	}
 }
 
+// While a controller has no authority it hears nobody, and that is no machine's silence: after
+// an outage of the state service of 8 s all zones at once once counted as cut off.
+func TestSilenceCountsFromAuthority(t *testing.T) {
+	for _, outage := range []bool{true, false} {
+		b := setup(t)
+		for i := range 40 {
+			b.Fleet.Report(b.cloud.now, &fleet.Report{Machine: fmt.Sprintf("i-%d", i), Addr: "x", Type: "m",
+				Zone: "ab"[i%2 : i%2+1], Session: 1, Seq: 1, Token: 1 << 20})
+		}
+		b.cloud.now += 9 * time.Second
+		if outage {
+			b.authority = b.cloud.now
+		}
+		b.runFor(time.Second)
+		if want := 2; outage == (len(b.cut) > 0) || (!outage && len(b.cut) != want) {
+			t.Fatalf("outage %v: %d zones count as cut off", outage, len(b.cut))
+		}
+	}
+}
+
 // A small fleet may have several idle machines by chance; a large one has not, and returns
 // the more of them the sooner.
 func TestIdleBeyondChance(t *testing.T) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -380,7 +380,7 @@
 	c.had = auth
 	c.fleet.Tick(now, auth)
 	if auth {
-		c.cap.Tick(now, now-c.steady > config.Seconds(c.s.Operator.SilentS))
+		c.cap.Tick(now, c.steady)
 		c.cutOff(now)
 	}
 }
