--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -494,47 +494,39 @@
 }
 
 // FirstFit places n equal tasks whole, in the order of the hosts, or not at all. perZone
-// bounds how many tasks one zone takes (0: no bound); oneZone asks for a single zone, and
-// takes the one whose last host comes first: all tasks start with the slowest.
+// bounds how many tasks one zone takes (0: no bound); oneZone asks for a single zone.
 func FirstFit(hosts []Host, task Size, n int, oneZone bool, perZone int) []int32 {
-	if !oneZone {
-		out, _ := firstFit(hosts, task, n, None, perZone)
-		return out
-	}
-	var best []int32
-	last := len(hosts)
-	tried := map[int32]bool{}
-	for _, h := range hosts {
-		if tried[h.Zone] {
-			continue
-		}
-		tried[h.Zone] = true
-		if got, at := firstFit(hosts[:last], task, n, h.Zone, perZone); got != nil {
-			best, last = got, at
+	if oneZone {
+		tried := map[int32]bool{}
+		for _, h := range hosts {
+			if tried[h.Zone] {
+				continue
+			}
+			tried[h.Zone] = true
+			var zone []Host
+			for _, o := range hosts {
+				if o.Zone == h.Zone {
+					zone = append(zone, o)
+				}
+			}
+			if got := FirstFit(zone, task, n, false, perZone); got != nil {
+				return got
+			}
 		}
+		return nil
 	}
-	return best
-}
-
-// None stands for no zone in particular.
-const None int32 = -1
-
-// firstFit is FirstFit on the hosts of a zone, or of all; at is the place of the last host.
-func firstFit(hosts []Host, task Size, n int, zone int32, perZone int) (out []int32, at int) {
 	used := map[int32]int{}
-	for i, h := range hosts {
-		if zone != None && h.Zone != zone {
-			continue
-		}
+	out := make([]int32, 0, n)
+	for _, h := range hosts {
 		free := h.Free
 		for len(out) < n && task.Fits(free) && (perZone == 0 || used[h.Zone] < perZone) {
 			free = free.Sub(task)
 			used[h.Zone]++
 			out = append(out, h.ID)
 		}
-		if len(out) == n {
-			return out, i
-		}
 	}
-	return nil, 0
+	if len(out) < n {
+		return nil
+	}
+	return out
 }
