--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -68,14 +68,18 @@
 	return nil
 }
 
-// Run works through messages and calls tick at every step of the interval.
+// Run works through messages and calls tick when an interval has passed since the last one
+// ended: where a tick takes longer than the interval, messages still get as much time.
 func (l *Loop) Run(every time.Duration, tick func(now time.Duration)) {
-	t := time.NewTicker(every)
-	defer t.Stop()
+	t := time.NewTimer(every)
+	beat := func() {
+		tick(l.Now())
+		t.Reset(every)
+	}
 	for {
 		select {
 		case <-t.C:
-			tick(l.Now())
+			beat()
 		default:
 		}
 		if f := l.next(); f != nil {
@@ -84,7 +88,7 @@
 		}
 		select {
 		case <-t.C:
-			tick(l.Now())
+			beat()
 		case f := <-l.msgs[urgent]:
 			f()
 		case f := <-l.msgs[worker]:
