--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -913,10 +913,6 @@
 		// comes the later the more this one had to look at.
 		cores := f.Settings.Params.Limits.Processor()
 		f.nextPass = now + time.Duration(float64(f.Steps-before)*float64(stepPause)/cores)
-		// A processor that is slower than the settings say shows in the time it took.
-		if at := f.Now(); at > now {
-			f.nextPass = max(f.nextPass, at+planRest*(at-now))
-		}
 	}
 	f.Flush(now)
 	if authority && (planned || f.news) {
@@ -929,9 +925,6 @@
 // a step costs.
 const stepPause = 300 * time.Nanosecond
 
-// planRest is how many times as long as a pass took the next one waits at least.
-const planRest = 3
-
 // expire releases the tasks of machines whose workers' leases have surely run out: the
 // worker counts from when it sent its last answered report, which was before our answer,
 // on a clock that may be slow by the drift bound.
