Count licences: one door for team limits and seats, a ledger, grants in planning

Need: jobs that start without a free seat of a licensed engine fail late. internal/licences counts seats of declared pools: booked before a launch, released by the proof that releases a team's limit, lingering for as long as a licence server shows them. internal/admission is the one place that decides a start; quota.Ledger is its first user, and a gang whose launches are staggered now has everything booked with the first.

The plain model of workers and network now plays licences too.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,6 +13,8 @@
 
 	"github.com/go-playground/validator/v10"
 	"github.com/hashicorp/hcl/v2/hclsimple"
+
+	"github.com/harewalk/harewalk/internal/licences"
 )
 
 // Peer is another controller.
@@ -142,6 +144,7 @@
 
 	// Operator is never read from the platform's file.
 	Operator Operator `json:"-"`
+	pools    []*licences.Pool
 }
 
 // Operator holds the operators' own settings, all optional, written in HCL.
@@ -159,6 +162,14 @@
 	MaxMachines int `hcl:"max_machines,optional" validate:"gte=1"`
 	// NetworkFactor scales the planner's q.
 	NetworkFactor float64 `hcl:"network_factor,optional" validate:"gte=0"`
+	// OperatorTokenFile holds the token that operators' commands must carry, one line. Without
+	// it they are taken from the controller's own machine only.
+	OperatorTokenFile string `hcl:"operator_token_file,optional"`
+	// Licences are the pools of counted licences.
+	Licences []LicencePool `hcl:"licence,block" validate:"dive"`
+
+	// Token is what the file held.
+	Token string
 }
 
 func newValidator() *validator.Validate {
@@ -212,10 +223,31 @@
 		if err := newValidator().Struct(&s.Operator); err != nil {
 			return nil, fmt.Errorf("%s: %w", hclPath, explain(err))
 		}
+		if err := s.derivePools(); err != nil {
+			return nil, fmt.Errorf("%s: %w", hclPath, err)
+		}
+		if err := s.Operator.readToken(); err != nil {
+			return nil, fmt.Errorf("%s: %w", hclPath, err)
+		}
 	}
 	return s, nil
 }
 
+// readToken reads the operators' token.
+func (o *Operator) readToken() error {
+	if o.OperatorTokenFile == "" {
+		return nil
+	}
+	raw, err := os.ReadFile(o.OperatorTokenFile)
+	if err != nil {
+		return fmt.Errorf("operator_token_file: %w", err)
+	}
+	if o.Token = strings.TrimSpace(string(raw)); len(o.Token) < 16 {
+		return fmt.Errorf("operator_token_file %s: a token has at least 16 characters", o.OperatorTokenFile)
+	}
+	return nil
+}
+
 // Parse reads and validates the platform's settings.
 func Parse(raw []byte) (*Settings, error) {
 	s := &Settings{}
@@ -260,6 +292,11 @@
 		l := s.Params.Limits
 		o.MaxMachines = max(1, min(or(l.Sockets, anySockets)*6/10, l.Conns(), int(l.Memory()*8)))
 	}
+	for i := range o.Licences {
+		if o.Licences[i].OnLower == "" {
+			o.Licences[i].OnLower = string(licences.Wait)
+		}
+	}
 	if o.NetworkFactor == 0 {
 		o.NetworkFactor = 1
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/harewalk/harewalk/internal/httpio"
 	"github.com/harewalk/harewalk/internal/intake"
 	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/licences"
 	"github.com/harewalk/harewalk/internal/membership"
 	"github.com/harewalk/harewalk/internal/peers"
 	"github.com/harewalk/harewalk/internal/quota"
@@ -57,6 +59,8 @@
 	rng   *rand.Rand
 	send  httpio.Sender // to the state service and the cloud
 	wire  httpio.Sender // to workers
+	seats httpio.Sender // to licence servers
+	pools *licences.Catalog
 	store *store.Client
 	mir   *store.Mirror
 	mem   *membership.Membership
@@ -106,15 +110,26 @@
 	c.send = httpio.New(s.Params.Limits.Outgoing(serviceSlots), c.loop.Post)
 	c.wire = httpio.New(s.Params.Limits.Outgoing(workerSlots), c.loop.Post)
 	c.store = store.New(s.Services.State, c.send, c.loop.Now, c.share(false), s.Params.State.TxnOps)
+	c.seats = httpio.New(s.Params.Limits.Outgoing(licenceSlots), c.loop.Post)
 	c.book = jobs.NewBook(start.UnixMilli())
+	c.pools = licences.NewCatalog(s.Pools())
+	c.book.Door.Pools = c.pools
 	c.quota = quota.New(s.Params.Teams, c.book.Door.Teams.Index)
 	c.cloud = capacity.NewCloud(s.Services.Cloud, c.send, c.loop.Now, s.Params.Cloud.RPS*0.9)
 	c.mir = store.NewMirror(c.store, hot)
 	c.mem = membership.New(membership.Config{Node: s.Node, Public: s.Public, TTL: s.HoldTTL(), Rng: c.rng,
 		OnLead: c.lead, OnLose: c.lose}, c.store, c.mir.Fresh)
 	c.mir.OnItem = func(it store.Item) { c.item(c.loop.Now(), it) }
-	c.mir.OnDrop = func(k string, v uint64) { c.mem.Drop(c.loop.Now(), k, v) }
-	c.mir.OnReset = func(items []store.Item) { c.mem.Reset(c.loop.Now(), items) }
+	c.mir.OnDrop = func(k string, v uint64) {
+		c.mem.Drop(c.loop.Now(), k, v)
+		c.pools.Drop(k, v)
+	}
+	c.mir.OnReset = func(items []store.Item) {
+		c.mem.Reset(c.loop.Now(), items)
+		c.pools.Reset(func(key string) bool {
+			return slices.ContainsFunc(items, func(it store.Item) bool { return it.Key == key })
+		})
+	}
 	c.mir.OnSynced = func() { c.mem.Synced(c.loop.Now()) }
 	c.in = intake.New(intake.Env{Store: c.store, Book: c.book, Admit: c.admit, Ready: c.mir.Synced,
 		Counts: c.counts, Learned: c.learned, TxnOps: s.Params.State.TxnOps, MaxTasks: s.Params.Limits.Tasks(),
@@ -150,7 +165,7 @@
 	fail := make(chan error, 1)
 	go func() {
 		fail <- intake.Serve(public, intake.Routes{Post: c.loop.Offer, PostReport: c.loop.OfferWorker, Now: c.loop.Now, Intake: c.in, Up: c.up,
-			Report: c.report, MaxConns: c.s.Params.Limits.Conns()})
+			Report: c.report, Operator: c.operator(), MaxConns: c.s.Params.Limits.Conns()})
 	}()
 	slog.Info("serving", "node", c.s.Node, "public", c.s.Public, "hold_ms", c.s.Operator.HoldTTLMS,
 		"money_counts", c.s.MoneyCounts(), "objectives", len(c.s.Params.Objectives))
@@ -158,11 +173,21 @@
 	return <-fail
 }
 
+// operator is how operators' requests are answered, nil where there is nothing to ask about.
+func (c *Controller) operator() *intake.Operator {
+	if len(c.pools.Pools()) == 0 {
+		return nil
+	}
+	return &intake.Operator{Token: c.s.Operator.Token, Licences: c.licenceCall}
+}
+
 // item takes over a followed key.
 func (c *Controller) item(now time.Duration, it store.Item) {
 	switch {
 	case strings.HasPrefix(it.Key, jobs.Prefix):
 		c.learned(now, it)
+	case strings.HasPrefix(it.Key, licences.Prefix):
+		c.counted(it)
 	case it.Key == typesKey:
 		if types, err := capacity.ParseTypes(it.Value); err == nil && it.Version > c.typesVer {
 			c.typesVer = it.Version
@@ -194,27 +219,26 @@
 }
 
 // admit tells whether a job can ever run.
-func (c *Controller) admit(s *jobs.Spec) (ok, known bool, why string) {
+func (c *Controller) admit(s *jobs.Spec) intake.Verdict {
+	no := func(why string) intake.Verdict { return intake.Verdict{Known: true, Why: why} }
 	team := c.book.Door.Teams.Index(s.Team)
 	if c.quota.Team(team) == nil {
-		return false, true, "unknown team"
+		return no("unknown team")
 	}
 	if len(c.types) == 0 {
-		return false, false, "the machine types are not known yet"
+		return intake.Verdict{Why: "the machine types are not known yet"}
 	}
 	n := 1
 	if s.Kind != jobs.Array {
 		n = s.Tasks
 	}
 	if !c.quota.Ever(team, s.Size(), n) {
-		return false, true, "the job needs more than the team's limit"
+		return no("the job needs more than the team's limit")
 	}
-	for _, t := range c.types {
-		if fitsType(s, t) {
-			return true, true, ""
-		}
+	if !slices.ContainsFunc(c.types, func(t capacity.MachineType) bool { return fitsType(s, t) }) {
+		return no("a task fits no allowed machine type")
 	}
-	return false, true, "a task fits no allowed machine type"
+	return c.fitsPools(s.Licences, s.Team, n)
 }
 
 func fitsType(s *jobs.Spec, t capacity.MachineType) bool {
@@ -380,6 +404,7 @@
 	c.had = auth
 	c.fleet.Tick(now, auth)
 	if auth {
+		c.askServers(now)
 		c.cap.Tick(now, c.steady)
 		c.cutOff(now)
 	}
--- /dev/null
+++ b/internal/controller/licences.go
@@ -0,0 +1,174 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/httpio"
+	"github.com/harewalk/harewalk/internal/intake"
+	"github.com/harewalk/harewalk/internal/licences"
+	"github.com/harewalk/harewalk/internal/membership"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+// licenceSlots bounds the questions to licence servers under way: a silent one must not keep
+// others, or the state service, from being asked.
+const licenceSlots = 8
+
+// askServers asks the licence servers that are due.
+func (c *Controller) askServers(now time.Duration) {
+	f := c.fleet
+	if f.Gate.Seats.None() {
+		return
+	}
+	for _, p := range f.Gate.Seats.Due(now) {
+		c.seats.Send(p.Server, httpio.Request{Method: "GET", Path: "/v1/pools/" + p.Name, Timeout: licences.AskTimeout}, func(r httpio.Response) {
+			if c.fleet != f {
+				return
+			}
+			at := c.loop.Now()
+			ans, err := licences.Answer{}, r.Err
+			if err == nil && r.Status != 200 {
+				err = fmt.Errorf("licence server answered %d", r.Status)
+			}
+			if err == nil {
+				ans, err = licences.ParseAnswer(r.Body)
+			}
+			if err != nil {
+				slog.Debug("licence server asked in vain", "pool", p.Name, "cause", err)
+				f.Gate.Seats.Failed(at, p.Name)
+				return
+			}
+			f.Gate.Seats.Answered(at, now, p.Name, ans, f.Seated)
+		})
+	}
+}
+
+// counted takes over a count that was set.
+func (c *Controller) counted(it store.Item) {
+	if err := c.pools.Item(it.Key, it.Value, it.Version); err != nil {
+		slog.Error("a stored count of licences cannot be read", "key", it.Key, "cause", err)
+		return
+	}
+	if c.fleet != nil {
+		c.fleet.Gate.Seats.Counted()
+	}
+}
+
+// setCount is an operator's command: the body of a POST to a pool.
+type setCount struct {
+	Count   *int           `json:"count"`
+	Lower   licences.Lower `json:"on_lower"`
+	Version *uint64        `json:"version"` // the command was based on; nil: any
+	By      string         `json:"by"`
+	Reset   bool           `json:"reset"` // back to what is declared
+}
+
+// licenceCall answers an operator's request about pools: all of them, one, or a new count.
+func (c *Controller) licenceCall(now time.Duration, q intake.OperatorCall, reply func(intake.Reply)) {
+	if c.mem.State() != membership.Leading || c.fleet == nil {
+		l := c.mem.Leader()
+		if l.Node == "" {
+			reply(intake.Refuse(503, "no controller leads"))
+			return
+		}
+		reply(intake.Reply{Status: 421, Body: struct {
+			Error  string `json:"error"`
+			Leader string `json:"leader"`
+		}{"the seats are counted by the leader", l.Public}})
+		return
+	}
+	if !c.mem.Authority(now) || !c.fleet.Loaded() {
+		reply(intake.Refuse(503, "the leader may not act now"))
+		return
+	}
+	show := func(ix int32) licences.View { return c.fleet.Gate.Seats.Show(now, ix, c.book.Door.Teams.Name) }
+	if q.Name == "" {
+		all := []licences.View{}
+		for ix := range c.pools.Pools() {
+			all = append(all, show(int32(ix)))
+		}
+		reply(intake.Reply{Status: 200, Body: all})
+		return
+	}
+	ix, ok := c.pools.Index(q.Name)
+	switch {
+	case !ok:
+		reply(intake.Refuse(404, fmt.Sprintf("no licence pool %q is declared", q.Name)))
+	case q.Body == nil:
+		reply(intake.Reply{Status: 200, Body: show(ix)})
+	default:
+		c.setCount(now, ix, q.Body, func() licences.View { return show(ix) }, reply)
+	}
+}
+
+// maxCount is the largest count that can be set.
+const maxCount = 1_000_000
+
+func (c *Controller) setCount(now time.Duration, ix int32, body []byte, show func() licences.View, reply func(intake.Reply)) {
+	var s setCount
+	switch err := json.Unmarshal(body, &s); {
+	case err != nil:
+		reply(intake.Refuse(400, "not a command: "+err.Error()))
+		return
+	case !s.Reset && (s.Count == nil || *s.Count < 0 || *s.Count > maxCount):
+		reply(intake.Refuse(400, fmt.Sprintf("count must be 0 to %d", maxCount)))
+		return
+	case s.Lower != "" && s.Lower != licences.Wait && s.Lower != licences.Stop:
+		reply(intake.Refuse(400, `on_lower must be "wait" or "stop"`))
+		return
+	case len(s.By) > 100:
+		reply(intake.Refuse(400, "by is longer than 100 characters"))
+		return
+	}
+	stamp, by := c.pools.Stamp(ix)
+	if s.Version != nil && *s.Version != stamp {
+		reply(intake.Reply{Status: 409, Body: conflict(by, show())})
+		return
+	}
+	key := licences.Key(c.pools.Pools()[ix].Name)
+	op := store.Op{Delete: key}
+	if !s.Reset {
+		raw, _ := json.Marshal(licences.Set{Count: *s.Count, Lower: s.Lower, By: s.By, AtMS: c.book.WallMS(now)})
+		op = store.Op{Put: key, Value: raw}
+	} else if stamp == 0 {
+		reply(intake.Reply{Status: 200, Body: show()})
+		return
+	}
+	f := c.fleet
+	c.store.Txn(store.Txn{If: []store.Cond{c.mem.Guard(), {Key: key, Version: stamp}}, Then: []store.Op{op}}, store.Ordinary, func(r store.Result) {
+		switch {
+		case r.Outcome == store.Committed && c.fleet == f:
+			if s.Reset {
+				c.pools.Drop(key, r.Revision)
+				f.Gate.Seats.Counted()
+			} else {
+				c.counted(store.Item{Key: key, Value: op.Value, Version: r.Revision})
+			}
+			slog.Info("licences counted anew", "pool", c.pools.Pools()[ix].Name, "count", c.pools.Count(ix), "by", s.By, "on_lower", c.pools.Lowering(ix))
+			reply(intake.Reply{Status: 200, Body: show()})
+		case r.Outcome == store.Conflict && c.fleet == f:
+			reply(intake.Reply{Status: 409, Body: conflict("another command", show())})
+		default:
+			reply(intake.Refuse(503, "it is not known whether the count was set: look before setting it again"))
+		}
+	})
+}
+
+func conflict(by string, v licences.View) any {
+	if by == "" {
+		by = "somebody"
+	}
+	return struct {
+		Error string        `json:"error"`
+		Now   licences.View `json:"now"`
+	}{fmt.Sprintf("the count was changed by %s meanwhile: it is %d", by, v.Count), v}
+}
+
+// fitsPools tells whether a job's tasks can ever have their seats.
+func (c *Controller) fitsPools(of map[string]int, team string, n int) intake.Verdict {
+	ok, why := c.pools.Ever(of, team, n)
+	return intake.Verdict{OK: ok, Known: true, Open: !ok, Why: why}
+}
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -31,7 +31,11 @@
 		if n == 0 {
 			continue
 		}
-		t := f.Ledger.Team(j.Team)
+		// What waits for a licence needs no machine yet.
+		if n = f.granted(j, n); n == 0 {
+			continue
+		}
+		t := f.Gate.Quota.Team(j.Team)
 		if t == nil {
 			continue
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,8 +15,10 @@
 	"strings"
 	"time"
 
+	"github.com/harewalk/harewalk/internal/admission"
 	"github.com/harewalk/harewalk/internal/config"
 	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/licences"
 	"github.com/harewalk/harewalk/internal/planner"
 	"github.com/harewalk/harewalk/internal/quota"
 	"github.com/harewalk/harewalk/internal/store"
@@ -68,7 +70,8 @@
 
 	machines []*Machine
 	byName   map[string]*Machine
-	Ledger   *quota.Ledger
+	// Gate decides whether a task may start and counts what may be on machines.
+	Gate *admission.Gate
 
 	// spread says, for each job with planned tasks, on which machines they wait and how
 	// many: planning looks at those instead of at the whole fleet.
@@ -86,16 +89,17 @@
 	// Steps counts the work of planning, in looks at a machine, lane or task. It paces the
 	// passes, and tests bound it.
 	Steps    uint64
-	ixs      []jobs.Index                 // scratch
-	works    []planner.Work               // scratch
-	refs     []Ref                        // scratch
-	listed   map[Ref]struct{}             // what the report at hand says is on its machine
-	perGPU   planner.Size                 // what waiting work takes besides, for each accelerator
-	ordinary map[int32]bool               // machine types that jobs which may not use spot need
-	kinds    map[int32]bool               // machine types seen
-	pleaded  map[jobs.Index]time.Duration // gangs that had others stopped, when last
-	news     bool                         // a plan became durable since the last push
-	barren   map[jobs.Index]time.Duration // arrays for which no machine was found, until when
+	ixs      []jobs.Index                  // scratch
+	works    []planner.Work                // scratch
+	refs     []Ref                         // scratch
+	listed   map[Ref]struct{}              // what the report at hand says is on its machine
+	perGPU   planner.Size                  // what waiting work takes besides, for each accelerator
+	ordinary map[int32]bool                // machine types that jobs which may not use spot need
+	kinds    map[int32]bool                // machine types seen
+	pleaded  map[jobs.Index]time.Duration  // jobs that had others stopped, when last
+	grants   map[jobs.Index]licences.Grant // of jobs that need licences, by the last pass
+	news     bool                          // a plan became durable since the last push
+	barren   map[jobs.Index]time.Duration  // arrays for which no machine was found, until when
 
 	// hints are the caches that the owner before inferred, until their machines are heard.
 	hints    map[string][]cached
@@ -127,8 +131,9 @@
 	f := &Fleet{Env: env, Term: term, since: now, byName: map[string]*Machine{},
 		within: map[jobs.Index]bool{}, classes: map[int32]*classStats{}, LastReport: now,
 		hints: map[string][]cached{}, spread: map[jobs.Index]map[int32]int{}, barren: map[jobs.Index]time.Duration{}, pleaded: map[jobs.Index]time.Duration{},
-		ordinary: map[int32]bool{}, kinds: map[int32]bool{}, listed: map[Ref]struct{}{}}
-	f.Ledger = quota.New(env.Settings.Params.Teams, env.Book.Door.Teams.Index)
+		grants: map[jobs.Index]licences.Grant{}, ordinary: map[int32]bool{}, kinds: map[int32]bool{}, listed: map[Ref]struct{}{}}
+	d := env.Book.Door
+	f.Gate = admission.New(quota.New(env.Settings.Params.Teams, d.Teams.Index), licences.New(d.Pools, d.Teams.Index, now))
 	return f
 }
 
@@ -285,7 +290,7 @@
 	m.On[Ref{j.Index, t}] = struct{}{}
 	m.Use = m.Use.Add(size)
 	m.endsOK = false
-	f.Ledger.Take(j.Team, size)
+	f.Gate.Take(now, seatRef(j, t), k.Attempt, claimOf(j))
 	j.ZoneUse[m.Zone]++
 	if ty := f.typ(m); ty != nil {
 		if !m.HasImage(j.Image) {
@@ -296,8 +301,9 @@
 	m.IdleSince = now
 }
 
-// release ends a task's being on its machine; it then is to.
-func (f *Fleet) release(now time.Duration, j *jobs.Job, t int32, to jobs.State) {
+// release ends a task's being on its machine; it then is to. how says what that means for its
+// licences.
+func (f *Fleet) release(now time.Duration, j *jobs.Job, t int32, to jobs.State, how licences.End) {
 	k := &j.Tasks[t]
 	if j.GangDone || k.Done {
 		to = jobs.Finished
@@ -315,7 +321,7 @@
 		m.Use = planner.Size{} // decimals leave dust
 		m.IdleSince = now
 	}
-	f.Ledger.Give(j.Team, size)
+	f.Gate.Give(now, seatRef(j, t), claimOf(j), how)
 	j.ZoneUse[m.Zone]--
 	f.must(j.Set(t, to))
 	if to == jobs.Planned {
@@ -421,6 +427,7 @@
 	f.ranked = 0
 	delete(f.barren, j.Index)
 	delete(f.pleaded, j.Index)
+	delete(f.grants, j.Index)
 	if j.Tasks == nil {
 		return
 	}
@@ -561,7 +568,7 @@
 		n := float64(j.N - j.DoneN)
 		sum := demand[j.Team].Add(planner.Size{CPUs: s.CPUs * n, GPUs: s.GPUs * n})
 		demand[j.Team] = sum
-		f.within[j.Index] = f.Ledger.Within(j.Team, s, sum)
+		f.within[j.Index] = f.Gate.Quota.Within(j.Team, s, sum)
 		d, ok := f.due(now, j)
 		keys[j.Index] = rankKey{d, ok}
 	}
--- a/internal/fleet/guards_test.go
+++ b/internal/fleet/guards_test.go
@@ -193,8 +193,8 @@
 
 	n := newRig(t, 2, kv)
 	j := n.Book.Get("req-000001")
-	if j.Tasks[0].State != jobs.Recovered || n.Ledger.Team(j.Team).Used.CPUs != 1 {
-		t.Fatalf("state %v using %v, want recovered and counted", j.Tasks[0].State, n.Ledger.Team(j.Team).Used)
+	if j.Tasks[0].State != jobs.Recovered || n.Gate.Quota.Team(j.Team).Used.CPUs != 1 {
+		t.Fatalf("state %v using %v, want recovered and counted", j.Tasks[0].State, n.Gate.Quota.Team(j.Team).Used)
 	}
 	if cs := n.hear("m", 1, fenced); len(cs) != 0 || j.Tasks[0].State != jobs.Recovered {
 		t.Fatalf("acted on a report at the former token: %v, %v", cs, j.Tasks[0].State)
@@ -232,15 +232,15 @@
 	g.orders[0](nil, false)
 	g.cancel(j)
 	g.hear("m", 1, fenced) // this answer raises the token
-	if used := g.Ledger.Team(j.Team).Used.CPUs; used != 1 {
+	if used := g.Gate.Quota.Team(j.Team).Used.CPUs; used != 1 {
 		t.Fatalf("uses %v, but the launch may still arrive", used)
 	}
 	g.hear("m", 1, fenced)
-	if used := g.Ledger.Team(j.Team).Used.CPUs; used != 1 {
+	if used := g.Gate.Quota.Team(j.Team).Used.CPUs; used != 1 {
 		t.Fatalf("uses %v, but no report carries the raised token yet", used)
 	}
 	g.hear("m", 1, fenced+1)
-	if used := g.Ledger.Team(j.Team).Used.CPUs; used != 0 {
+	if used := g.Gate.Quota.Team(j.Team).Used.CPUs; used != 0 {
 		t.Fatalf("uses %v, but nothing can arrive any more", used)
 	}
 }
@@ -295,7 +295,7 @@
 	g, j := launched(t)
 	g.cancel(j)
 	n := newRig(t, 2, g.kv)
-	if used := n.Ledger.Team(n.Book.Door.Teams.Index("t")).Used.CPUs; used != 1 {
+	if used := n.Gate.Quota.Team(n.Book.Door.Teams.Index("t")).Used.CPUs; used != 1 {
 		t.Fatalf("uses %v, want the cancelled task counted", used)
 	}
 	task := TaskReport{Task: "req-000001/0", Attempt: j.Tasks[0].Attempt, State: running}
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/harewalk/harewalk/internal/config"
 	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/licences"
 	"github.com/harewalk/harewalk/internal/planner"
 	"github.com/harewalk/harewalk/internal/store"
 )
@@ -80,6 +81,69 @@
 	starts   int
 	broken   []string
 	trouble  float64
+
+	pools   []*licences.Pool // nil: no job needs a licence
+	lingers []lingering      // seats of those that crashed
+	changed time.Duration    // when the counts were last changed
+	most    map[string]int   // the highest count of the last minute
+	peak    map[string]int
+}
+
+// lingering is a seat that its server still counts.
+type lingering struct {
+	pool  string
+	units int
+	until time.Duration
+}
+
+// crash ends tasks without notice: their seats stay taken for a while.
+func (w *world) crash(ks []*onWorker) {
+	for _, k := range ks {
+		for pool, n := range w.specs[k.job].Licences {
+			for _, p := range w.pools {
+				if p.Name == pool && k.counted {
+					w.lingers = append(w.lingers, lingering{pool, n, w.now + p.Linger})
+				}
+			}
+		}
+	}
+}
+
+// seats checks, at a start, that no pool has more seats taken than there were lately.
+func (w *world) seats(s *jobs.Spec) {
+	for pool := range s.Licences {
+		n := 0
+		for _, l := range w.lingers {
+			if l.pool == pool && l.until > w.now {
+				n += l.units
+			}
+		}
+		for _, o := range w.workers {
+			for _, x := range o.tasks {
+				if x.counted {
+					n += w.specs[x.job].Licences[pool]
+				}
+			}
+		}
+		if w.peak[pool] = max(w.peak[pool], n); n > w.most[pool] {
+			w.fail("seats: %d of %d of %s taken by a start of %s", n, w.most[pool], pool, s.ID)
+		}
+	}
+}
+
+// recount sets the counts anew, now and then, and lets the highest one count for a minute: what
+// was let through before may still be on its way.
+func (w *world) recount() {
+	if w.pools == nil || w.now < w.changed {
+		return
+	}
+	w.changed = w.now + time.Minute
+	for _, p := range w.pools {
+		was := p.Count
+		p.Count = 3 + w.rng.IntN(5)
+		p.Lowering = []licences.Lower{licences.Wait, licences.Stop}[w.rng.IntN(2)]
+		w.most[p.Name] = max(was, p.Count)
+	}
 }
 
 func (w *world) fail(format string, a ...any) {
@@ -171,6 +235,7 @@
 	w.kv["leader"] = kvItem{json.RawMessage(`{}`), w.rev}
 	w.leader = w.rev
 	w.book = jobs.NewBook(0)
+	w.book.Door.Pools = licences.NewCatalog(w.pools)
 	keys := make([]string, 0, len(w.kv))
 	for k := range w.kv {
 		keys = append(keys, k)
@@ -362,6 +427,7 @@
 
 func (w *world) expire(wk *worker) {
 	if w.now-wk.base > w.settings.Lease() {
+		w.crash(wk.tasks)
 		wk.tasks = nil
 		wk.session++
 		wk.base = w.now
@@ -374,6 +440,7 @@
 	k.counted = true
 	w.starts++
 	s := w.specs[k.job]
+	w.seats(s)
 	use, zones := planner.Size{}, map[string]int{}
 	for _, o := range w.workers {
 		for _, x := range o.tasks {
@@ -452,6 +519,7 @@
 			case w.specs[k.job].Kind == jobs.Service:
 			case w.now-k.started > k.run:
 				if w.rng.Float64() < 0.03 && !gang {
+					w.crash([]*onWorker{k})
 					k.state, k.why, k.counted = exited, whyError, false
 					continue
 				}
@@ -559,6 +627,12 @@
 	if s.Kind != jobs.Array && (s.OneZone || s.GPUs > 0 || s.Zone != nil || s.Types != nil) {
 		s.Tasks, s.CPUs = min(s.Tasks, 2), 1 // nobody rents here: it must fit one machine
 	}
+	if w.pools != nil && w.rng.IntN(3) > 0 {
+		s.Licences = map[string]int{"p": 1}
+		if w.rng.IntN(2) == 0 {
+			s.Licences["q"] = 1
+		}
+	}
 	w.specs[id] = s
 	w.done[id] = map[int32]bool{}
 	w.apply(store.Txn{If: []store.Cond{{Key: jobs.RecordKey(id)}},
@@ -578,9 +652,10 @@
 	w.told[id] = w.now
 }
 
-func newWorld(t *testing.T, seed uint64, trouble float64) *world {
+func newWorld(t *testing.T, seed uint64, trouble float64, pools ...*licences.Pool) *world {
 	w := &world{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 99)), kv: map[string]kvItem{}, specs: map[string]*jobs.Spec{},
-		done: map[string]map[int32]bool{}, told: map[string]time.Duration{}, trouble: trouble}
+		done: map[string]map[int32]bool{}, told: map[string]time.Duration{}, trouble: trouble,
+		pools: pools, most: map[string]int{}, peak: map[string]int{}}
 	w.settings = &config.Settings{}
 	w.settings.Params.Teams = []config.Team{{Name: "t0", CPUs: 4, CPUsMax: 14}, {Name: "t1", CPUs: 4, CPUsMax: 14}}
 	w.settings.Params.Workers = config.Workers{ReportS: 1.5, LeaseS: 10, GangWaitS: 8, GangPeerS: 2, CancelS: 30}
@@ -608,6 +683,9 @@
 		if !rough && !healed {
 			healed = true
 			w.trouble = 0
+			for _, p := range w.pools {
+				p.Count, w.most[p.Name] = 8, 8
+			}
 			for id, s := range w.specs {
 				if s.Kind == jobs.Service {
 					w.cancel(id)
@@ -619,6 +697,7 @@
 		}
 		if rough {
 			w.mischief()
+			w.recount()
 		}
 		sort.SliceStable(w.net, func(a, b int) bool { return w.net[a].at < w.net[b].at })
 		for len(w.net) > 0 && w.net[0].at <= w.now {
@@ -665,6 +744,7 @@
 			w.later(time.Duration(w.rng.Int64N(int64(15*time.Second))), func() { o.hung = false })
 		case w.chance(0.003) && wk.alive: // dies; a machine of a new name takes its place
 			wk.alive = false
+			w.crash(wk.tasks)
 			wk.tasks = nil
 			n := *wk
 			n.name, n.alive, n.hung, n.session, n.seq, n.token, n.base = fmt.Sprintf("i-%d", len(w.workers)+100), true, false, 1, 0, 0, w.now
@@ -673,6 +753,7 @@
 		case w.chance(0.004) && wk.alive && w.fleet != nil: // the cloud confirms a return
 			if m := w.fleet.Find(wk.name); m != nil {
 				wk.alive = false
+				w.crash(wk.tasks)
 				wk.tasks = nil
 				w.fleet.Returned(w.now, m, "returned")
 				n := *wk
@@ -683,7 +764,7 @@
 		case w.chance(0.004) && wk.alive && wk.spot && wk.notice == 0:
 			wk.notice = w.now + 5*time.Second
 			o := wk
-			w.later(5*time.Second, func() { o.alive = false; o.tasks = nil })
+			w.later(5*time.Second, func() { o.alive = false; w.crash(o.tasks); o.tasks = nil })
 			n := *wk
 			n.name, n.session, n.seq, n.token, n.base = fmt.Sprintf("i-%d", len(w.workers)+100), 1, 0, 0, w.now
 			n.hung, n.inFlight, n.notice, n.tasks = false, false, 0, nil
@@ -703,25 +784,54 @@
 	starts, ended := 0, 0
 	for seed := uint64(1); seed <= 60; seed++ {
 		w := newWorld(t, seed, 0.12)
-		w.run(150*time.Second, 420*time.Second)
-		if len(w.broken) > 0 {
-			t.Fatalf("seed %d: %s", seed, w.broken[0])
-		}
+		ended += w.play(t)
 		starts += w.starts
-		for id := range w.specs {
-			var r jobs.Record
-			_ = json.Unmarshal(w.kv[jobs.RecordKey(id)].raw, &r)
-			if r.Stance == "pending" {
-				j := w.book.Get(id)
-				for i := range j.Tasks {
-					t.Logf("task %d %s on %d fails %d late %v", i, j.Tasks[i].State, j.Tasks[i].Machine, j.Tasks[i].Fails, j.Tasks[i].Late)
-				}
-				t.Fatalf("seed %d: %s (%+v) never ends", seed, id, *w.specs[id])
-			}
-			ended++
-		}
 	}
 	if starts < 2000 || ended < 1000 {
 		t.Fatalf("only %d starts and %d jobs: the model does not exercise the code", starts, ended)
 	}
 }
+
+// The same with licences: no pool ever has more seats taken than it has, crashed holders
+// included, while counts fall and rise and leaders change, and no seat is lost for good.
+func TestSeatsAgainstThePlainModel(t *testing.T) {
+	starts, ended, full := 0, 0, 0
+	for seed := uint64(1); seed <= 60; seed++ {
+		w := newWorld(t, seed, 0.12, &licences.Pool{Name: "p", Count: 6}, &licences.Pool{Name: "q", Count: 5, Linger: 6 * time.Second})
+		ended += w.play(t)
+		starts += w.starts
+		for _, p := range w.pools {
+			if w.peak[p.Name] >= 5 {
+				full++
+			}
+			ix, _ := w.book.Door.Pools.Index(p.Name)
+			if v := w.fleet.Gate.Seats.Show(w.now, ix, func(int32) string { return "" }); v.Free != p.Count {
+				t.Fatalf("seed %d: pool %s is empty but %+v", seed, p.Name, v)
+			}
+		}
+	}
+	if starts < 1500 || ended < 1000 || full < 30 {
+		t.Fatalf("only %d starts, %d jobs and %d full pools: the model does not exercise the code", starts, ended, full)
+	}
+}
+
+// play runs a day and checks that every rule held and every job ended; it returns their number.
+func (w *world) play(t *testing.T) (ended int) {
+	w.run(150*time.Second, 420*time.Second)
+	if len(w.broken) > 0 {
+		t.Fatalf("seed %d: %s", w.seed, w.broken[0])
+	}
+	for id := range w.specs {
+		var r jobs.Record
+		_ = json.Unmarshal(w.kv[jobs.RecordKey(id)].raw, &r)
+		if r.Stance == "pending" {
+			j := w.book.Get(id)
+			for i := range j.Tasks {
+				t.Logf("task %d %s on %d fails %d late %v", i, j.Tasks[i].State, j.Tasks[i].Machine, j.Tasks[i].Fails, j.Tasks[i].Late)
+			}
+			t.Fatalf("seed %d: %s (%+v) never ends: %s", w.seed, id, *w.specs[id], j.Denied)
+		}
+		ended++
+	}
+	return ended
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -11,6 +11,7 @@
 
 	"github.com/harewalk/harewalk/internal/config"
 	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/licences"
 	"github.com/harewalk/harewalk/internal/planner"
 )
 
@@ -79,7 +80,7 @@
 			}
 		}
 		// What its team's limit keeps waiting needs no room.
-		if s := j.Spec.Size(); s.GPUs > 0 && j.Left() > 0 && f.Ledger.Fits(j.Team, s, 1) {
+		if s := j.Spec.Size(); s.GPUs > 0 && j.Left() > 0 && f.mayStart(j, 1) {
 			f.perGPU.CPUs = max(f.perGPU.CPUs, s.CPUs/s.GPUs)
 			f.perGPU.Mem = max(f.perGPU.Mem, s.Mem/s.GPUs)
 		}
@@ -137,7 +138,7 @@
 func (f *Fleet) startable(now time.Duration, m *Machine, j *jobs.Job, t int32) bool {
 	k := &j.Tasks[t]
 	return j.Stance == jobs.Pending && k.State == jobs.Planned && k.Machine == m.Index && k.Until <= now &&
-		j.IsDurable(t) && f.allowed(m, j) && f.fits(m, j) && f.Ledger.Fits(j.Team, j.Spec.Size(), 1)
+		j.IsDurable(t) && f.allowed(m, j) && f.fits(m, j) && (f.Gate.Booked(seatRef(j, t)) || f.Gate.Fits(claimOf(j), 1))
 }
 
 // nextAttempt makes an attempt that no term has used.
@@ -222,7 +223,7 @@
 		}
 	}
 	if first {
-		if !f.Ledger.Fits(j.Team, j.Spec.Size(), planned) {
+		if !f.mayStart(j, planned) {
 			return nil
 		}
 		j.Attempt = f.nextAttempt()
@@ -247,6 +248,11 @@
 			out = append(out, f.launch(now, m, j, t, j.Attempt))
 		}
 	}
+	if first && len(out) > 0 {
+		// The rest follows from other machines, some of it seconds later: nobody may take
+		// its place meanwhile.
+		f.book(now, j)
+	}
 	return out
 }
 
@@ -317,9 +323,13 @@
 		return
 	}
 	var tasks []int32
+	slice := min(planSlice, f.granted(j, j.Left())-j.In[jobs.Planned])
+	if slice <= 0 {
+		return
+	}
 	for t := range j.Tasks {
 		if k := &j.Tasks[t]; k.State == jobs.Unplanned && k.Until <= now {
-			if tasks = append(tasks, int32(t)); len(tasks) == planSlice {
+			if tasks = append(tasks, int32(t)); len(tasks) == slice {
 				break
 			}
 		}
@@ -610,7 +620,7 @@
 			return
 		}
 	}
-	if !f.Ledger.Fits(j.Team, j.Spec.Size(), j.N) {
+	if !f.mayStart(j, j.N) {
 		return
 	}
 	fd := f.field(now, j)
@@ -701,7 +711,7 @@
 				break
 			}
 		}
-		if i == len(fd.ps) || !f.Ledger.Fits(j.Team, j.Spec.Size(), 1) {
+		if i == len(fd.ps) || !f.mayStart(j, 1) || j.In[jobs.Planned] >= f.granted(j, j.N) {
 			return
 		}
 		f.plan(now, j, int32(t), fd.ps[i].m)
@@ -720,6 +730,7 @@
 	for _, j := range f.order {
 		f.pass.lowest = min(f.pass.lowest, j.Level)
 	}
+	f.allot(now)
 	f.share()
 	f.Steps += uint64(len(f.machines) + 2*len(f.order))
 	for _, j := range f.order {
@@ -805,7 +816,7 @@
 	least := planner.Size{CPUs: math.Inf(1), GPUs: math.Inf(1), Mem: math.Inf(1)}
 	var waiting []*jobs.Job
 	for _, j := range f.order {
-		if j.Spec.Kind == jobs.Array && j.In[jobs.Planned] > 0 && f.Ledger.Fits(j.Team, j.Spec.Size(), 1) {
+		if j.Spec.Kind == jobs.Array && j.In[jobs.Planned] > 0 && f.mayStart(j, 1) {
 			waiting = append(waiting, j)
 			least = least.Min(j.Spec.Size())
 		}
@@ -905,6 +916,9 @@
 		again(now)
 	}
 	f.expire(now)
+	if !f.Gate.Seats.None() {
+		f.Gate.Seats.Tick(now, time.UnixMilli(f.Book.WallMS(now)))
+	}
 	planned := now >= f.nextPass
 	if planned {
 		before := f.Steps
@@ -949,7 +963,7 @@
 	sortRefs(refs)
 	for _, r := range refs {
 		j := f.job(r.Job)
-		f.release(now, j, r.Task, jobs.Unplanned)
+		f.release(now, j, r.Task, jobs.Unplanned, licences.Crashed)
 		if !j.Stance.Terminal() {
 			j.Touch(r.Task, false, now)
 		}
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -10,6 +10,7 @@
 
 	"github.com/harewalk/harewalk/internal/config"
 	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/licences"
 )
 
 // Verdict is what becomes of a report.
@@ -60,6 +61,7 @@
 	if r.Session != m.Session {
 		// Direct commands name their session: those of the old one are refused now.
 		f.settleLate(m)
+		f.crashed(now, m)
 		// The lease of a session counts from its beginning, even if no report of it was
 		// ever answered: a direct launch may run that long.
 		m.Answered = now
@@ -201,6 +203,9 @@
 		}
 	}
 	k.Attempt = e.Attempt
+	if len(j.Seats) > 0 {
+		f.Gate.Seats.Attempt(now, seatRef(j, t), e.Attempt, j.Seats)
+	}
 	k.Late = false
 	p := phaseOf(e.State)
 	if p == jobs.Running && k.Phase != jobs.Running {
@@ -219,7 +224,7 @@
 	if e.Why == whyDone {
 		if j.Stance.Terminal() {
 			if k.State.Occupies() && k.Machine == m.Index {
-				f.release(now, j, t, jobs.Unplanned)
+				f.release(now, j, t, jobs.Unplanned, licences.Clean)
 			}
 			return
 		}
@@ -245,7 +250,7 @@
 		return
 	}
 	slog.Info("task ended", "task", e.Task, "machine", m.Name, "cause", e.Why, "saved", e.Saved, "term", f.Term)
-	f.release(now, j, t, jobs.Unplanned)
+	f.release(now, j, t, jobs.Unplanned, endOf(e.Why))
 	j.Touch(t, false, now)
 	switch e.Why {
 	case whyError:
@@ -301,7 +306,7 @@
 	if k.State == jobs.Planned {
 		f.dropLane(j, t)
 	}
-	f.release(now, j, t, jobs.Finished)
+	f.release(now, j, t, jobs.Finished, licences.Clean)
 	j.Touch(t, false, now)
 	if j.DoneN == j.N {
 		slog.Info("all tasks done", "job", j.ID, "term", f.Term)
@@ -334,17 +339,18 @@
 		// report says nothing of that), or in one that the worker dropped. Only in the
 		// last case it surely won't start any more: it is sent again or given up.
 		if (j.Stance.Terminal() || m.Condition != Acting) && !k.Late && !direct {
-			f.release(now, j, ref.Task, jobs.Unplanned)
+			f.release(now, j, ref.Task, jobs.Unplanned, licences.Unstarted)
 		}
 	case jobs.Recovered:
 		to := jobs.Planned
 		if j.Stance.Terminal() || j.Spec.Kind != jobs.Array || m.Condition != Acting {
 			to = jobs.Unplanned
 		}
-		f.release(now, j, ref.Task, to)
+		// It may have run and crashed under the owner before.
+		f.release(now, j, ref.Task, to, licences.Crashed)
 	case jobs.OnMachine:
 		slog.Info("task vanished", "job", j.ID, "task", ref.Task, "machine", m.Name, "term", f.Term)
-		f.release(now, j, ref.Task, jobs.Unplanned)
+		f.release(now, j, ref.Task, jobs.Unplanned, licences.Crashed)
 		if !j.Stance.Terminal() {
 			j.Touch(ref.Task, false, now)
 		}
--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -21,6 +21,8 @@
 	Intake           *Intake
 	Up               func() bool
 	Report           func(now time.Duration, r *fleet.Report, reply func(Reply))
+	// Operator answers operators' requests; nil: there are none.
+	Operator *Operator
 	// MaxConns bounds open connections.
 	MaxConns int
 }
@@ -83,6 +85,9 @@
 		}
 		return r.ask(c, r.PostReport, workerWait, func(reply func(Reply)) { r.Report(r.Now(), rep, reply) })
 	})
+	if r.Operator != nil {
+		r.operators(app)
+	}
 	return app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -29,6 +29,9 @@
 	Error string `json:"error"`
 }
 
+// Refuse is an answer that says why not; 429 and 503 carry Retry-After.
+func Refuse(status int, why string) Reply { return refuse(status, why) }
+
 func refuse(status int, why string) Reply {
 	r := Reply{Status: status, Body: fault{why}}
 	if status == 429 || status == 503 {
@@ -43,8 +46,18 @@
 	maxChecks  = 2000
 )
 
-// Admission decides whether a job can ever run; known is false while it can't be told.
-type Admission func(*jobs.Spec) (ok, known bool, why string)
+// Verdict says whether a job can ever run.
+type Verdict struct {
+	OK    bool
+	Known bool // false: it can't be told yet
+	// Open says that a no may become a yes, or was one: another controller, or this one a
+	// while ago, may have accepted the job.
+	Open bool
+	Why  string
+}
+
+// Admission decides whether a job can ever run.
+type Admission func(*jobs.Spec) Verdict
 
 // Env is what intake needs of its surroundings.
 type Env struct {
@@ -124,14 +137,23 @@
 		n.queueCheck(now, check{id: s.ID, reply: reply, submit: true})
 		return
 	}
-	switch ok, known, why := n.Admit(s); {
-	case !known:
-		reply(refuse(503, why))
+	switch v := n.Admit(s); {
+	case !v.Known:
+		reply(refuse(503, v.Why))
 		return
-	case !ok:
+	case !v.OK && v.Open:
+		// A count of licences falls while this job's record is on its way here from the
+		// controller that took it: only a read tells a refusal from a repetition.
+		if n.stateLost(now) || !n.Store.Room(0, store.Ordinary) {
+			reply(refuse(503, "the state service does not answer"))
+			return
+		}
+		n.reread(s.ID, reply, false, refuse(422, v.Why))
+		return
+	case !v.OK:
 		// The job may have been accepted elsewhere an instant ago, but what can never
 		// run is refused by every controller alike.
-		reply(refuse(422, why))
+		reply(refuse(422, v.Why))
 		return
 	}
 	if n.stateLost(now) {
@@ -216,34 +238,35 @@
 			s.reply(Reply{Status: 201, Body: view{ID: s.spec.ID, Stance: "pending"}})
 		case store.Conflict:
 			if failed[key] {
-				n.reread(s.spec.ID, s.reply, false)
+				n.reread(s.spec.ID, s.reply, false, notStored)
 			} else {
 				n.enqueue(now, s)
 			}
 		case store.Unknown:
 			// It may have been stored: only a read can tell. If it was not, it may yet
 			// be; then the user's retry finds it.
-			n.reread(s.spec.ID, s.reply, false)
+			n.reread(s.spec.ID, s.reply, false, notStored)
 		default:
 			s.reply(refuse(503, "the state service did not take the job"))
 		}
 	}
 }
 
-// reread answers from a fresh read of a job's record.
-func (n *Intake) reread(id string, reply func(Reply), query bool) {
+// notStored is the answer to a submission whose record is not there: it may come yet.
+var notStored = refuse(503, "the job was not stored")
+
+// reread answers from a fresh read of a job's record, with absent if there is none.
+func (n *Intake) reread(id string, reply func(Reply), full bool, absent Reply) {
 	n.Store.Get(jobs.RecordKey(id), store.Ordinary, func(it store.Item, err error) {
 		switch {
 		case err != nil:
 			reply(refuse(503, "the state service does not answer"))
-		case it.Version == 0 && query:
-			reply(refuse(404, "no such job"))
 		case it.Version == 0:
-			reply(refuse(503, "the job was not stored"))
+			reply(absent)
 		default:
 			n.Learned(n.Store.Now(), it)
 			if j := n.Book.Get(id); j != nil {
-				reply(n.show(j, query))
+				reply(n.show(j, full))
 				return
 			}
 			reply(refuse(503, "the job's record cannot be read"))
@@ -351,7 +374,11 @@
 		case j != nil && j.Stance.Terminal():
 			c.reply(n.show(j, !c.submit))
 		default:
-			n.reread(c.id, c.reply, !c.submit)
+			absent := refuse(404, "no such job")
+			if c.submit {
+				absent = notStored
+			}
+			n.reread(c.id, c.reply, !c.submit, absent)
 		}
 	}
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -58,8 +58,8 @@
 	st := store.New("", d, func() time.Duration { return svc.Now }, store.Share{RPS: 1e6, WriteRPS: 1e6, BurstS: 0.8}, 24)
 	book := jobs.NewBook(0)
 	d.Intake = New(Env{Store: st, Book: book, Ready: func() bool { return true }, TxnOps: 24, MaxTasks: 3000, MaxBytes: 1 << 20, MaxValue: 8 << 10,
-		Admit: func(s *jobs.Spec) (bool, bool, string) {
-			return s.Team == "t", s.Team != "unknown yet", "team"
+		Admit: func(s *jobs.Spec) Verdict {
+			return Verdict{OK: s.Team == "t", Known: s.Team != "unknown yet", Open: s.Team == "short of seats", Why: "team"}
 		},
 		Counts: func(j *jobs.Job) (int, int) { return j.DoneN, j.RunningN },
 		Learned: func(_ time.Duration, it store.Item) {
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"strings"
 	"time"
+
+	"github.com/harewalk/harewalk/internal/licences"
 )
 
 // Index is a job's dense index on this controller.
@@ -36,6 +38,11 @@
 	Class, Team, Image int32
 	Zone               int32   // the only zone, or None
 	Types              []int32 // the only machine types, or nil
+	// Seats is what each task holds of the licence pools. One that is not known here makes
+	// the job wait.
+	Seats []licences.Unit
+	// Denied is why its planner has no seats for its waiting tasks.
+	Denied licences.Denial
 
 	// ZoneUse counts, by dense zone, the tasks that may be on a machine there.
 	ZoneUse map[int32]int
@@ -79,7 +86,11 @@
 func (n *Names) Len() int { return len(n.names) }
 
 // Door holds the tables of all kinds of names.
-type Door struct{ Classes, Teams, Images, Zones, Types Names }
+type Door struct {
+	Classes, Teams, Images, Zones, Types Names
+	// Pools finds the licence pools by name.
+	Pools *licences.Catalog
+}
 
 // enter maps a spec's names.
 func (d *Door) enter(j *Job) {
@@ -92,6 +103,14 @@
 	for _, t := range s.Types {
 		j.Types = append(j.Types, d.Types.Index(t))
 	}
+	j.Seats = nil
+	if len(s.Licences) > 0 {
+		var err error
+		if j.Seats, err = d.Pools.Needs(s.Licences); err != nil {
+			// It was accepted where the pool is declared: here it must not start.
+			j.Seats = []licences.Unit{{Pool: None, N: 1}}
+		}
+	}
 }
 
 // Allows tells whether the job may run on a kind of machine.
@@ -122,7 +141,7 @@
 
 // NewBook makes an empty table; epochMS is the wall clock at steady time 0.
 func NewBook(epochMS int64) *Book {
-	return &Book{byID: map[string]Index{}, live: map[Index]*Job{}, epoch: epochMS, Door: &Door{}}
+	return &Book{byID: map[string]Index{}, live: map[Index]*Job{}, epoch: epochMS, Door: &Door{Pools: licences.NewCatalog(nil)}}
 }
 
 // At finds a job by index.
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -31,6 +31,12 @@
 // MaxTasks is the protocol's bound on a job's tasks.
 const MaxTasks = 100_000
 
+// Bounds on the licences of a task.
+const (
+	maxPools = 8
+	maxSeats = 100_000
+)
+
 // Spec is a submitted job.
 type Spec struct {
 	ID          string   `json:"name_id"`
@@ -53,6 +59,9 @@
 	CheckpointS float64  `json:"rest_s"`
 	SaveS       float64  `json:"stash_s"`
 	DeadlineS   *float64 `json:"dusk_s"`
+	// Licences says how many seats of which pools each task holds while it is on a machine.
+	// It is not part of the users' protocol: a submission without it means none.
+	Licences map[string]int `json:"licences,omitempty"`
 }
 
 // Size is what one task takes.
@@ -145,6 +154,14 @@
 			return bad("%s is out of range", f)
 		}
 	}
+	if len(s.Licences) > maxPools {
+		return bad("licences names more than %d pools", maxPools)
+	}
+	for pool, n := range s.Licences {
+		if pool == "" || len(pool) > 64 || n < 1 || n > maxSeats {
+			return bad("licences: a task holds 1 to %d seats of a named pool, not %d of %q", maxSeats, n, pool)
+		}
+	}
 	if s.CPUs == 0 && s.GPUs == 0 && s.Mem == 0 {
 		return bad("cpus, accelerators and memory_gb are all 0")
 	}
