--- /dev/null
+++ b/cmd/harewalk/operator.go
@@ -0,0 +1,248 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"github.com/harewalk/harewalk/internal/licences"
+)
+
+// operator is how operators' commands reach a cluster.
+type operator struct {
+	server, tokenFile, output string
+}
+
+func (o *operator) flags(c *cobra.Command) {
+	c.PersistentFlags().StringVar(&o.server, "server", "127.0.0.1:8080", "address of any controller")
+	c.PersistentFlags().StringVar(&o.tokenFile, "token-file", os.Getenv("HAREWALK_TOKEN_FILE"),
+		"file with the operators' token (or $HAREWALK_TOKEN_FILE)")
+	c.PersistentFlags().StringVarP(&o.output, "output", "o", "table", "table or json")
+}
+
+func (o *operator) token() (string, error) {
+	if o.tokenFile == "" {
+		return "", nil
+	}
+	raw, err := os.ReadFile(o.tokenFile)
+	if err != nil {
+		return "", coded{exitUsage, fmt.Errorf("--token-file: %w", err)}
+	}
+	return strings.TrimSpace(string(raw)), nil
+}
+
+// ask sends a request to the controller that leads: whoever is asked names it. A request that
+// can't be taken now is sent again for up to a minute; a command is not, once its outcome is
+// open.
+func (o *operator) ask(method, path string, body, into any) error {
+	if o.output != "table" && o.output != "json" {
+		return coded{exitUsage, fmt.Errorf("--output %q is neither table nor json", o.output)}
+	}
+	token, err := o.token()
+	if err != nil {
+		return err
+	}
+	var raw []byte
+	if body != nil {
+		raw, _ = json.Marshal(body)
+	}
+	server, last := o.server, error(nil)
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		status, answer, err := exchange(method, "http://"+server+path, token, raw)
+		if err != nil {
+			if server, last = o.server, err; body != nil {
+				return coded{exitFailed, fmt.Errorf("no answer from %s: look whether the command was carried out before giving it again: %w", server, err)}
+			}
+			continue
+		}
+		var said struct {
+			Error  string `json:"error"`
+			Leader string `json:"leader"`
+		}
+		_ = json.Unmarshal(answer, &said)
+		switch {
+		case status == 200:
+			return json.Unmarshal(answer, into)
+		case status == 421 && said.Leader != "":
+			server, last = said.Leader, fmt.Errorf("%s leads and does not answer", said.Leader)
+		case status == 503 || status == 429 || status == 421:
+			server, last = o.server, fmt.Errorf("%s", said.Error)
+		case status == 400 || status == 404:
+			if said.Error == "" {
+				said.Error = "the cluster has no such thing; are licences declared in its operators' settings?"
+			}
+			return coded{exitUsage, fmt.Errorf("%s", said.Error)}
+		default:
+			return coded{exitRefused, fmt.Errorf("%s (status %d)", said.Error, status)}
+		}
+	}
+	return coded{exitFailed, fmt.Errorf("given up after a minute: %w", last)}
+}
+
+func exchange(method, url, token string, body []byte) (int, []byte, error) {
+	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer func() { fasthttp.ReleaseRequest(q); fasthttp.ReleaseResponse(p) }()
+	q.SetRequestURI(url)
+	q.Header.SetMethod(method)
+	if token != "" {
+		q.Header.Set("Authorization", "Bearer "+token)
+	}
+	if body != nil {
+		q.Header.SetContentType("application/json")
+		q.SetBody(body)
+	}
+	if err := fasthttp.DoDeadline(q, p, time.Now().Add(5*time.Second)); err != nil {
+		return 0, nil, err
+	}
+	return p.StatusCode(), append([]byte(nil), p.Body()...), nil
+}
+
+// show prints a value as JSON, or as a table.
+func (o *operator) show(out io.Writer, v any, table func(*tabwriter.Writer)) error {
+	if o.output == "json" {
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		return e.Encode(v)
+	}
+	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	table(t)
+	return t.Flush()
+}
+
+func licenceCmd() *cobra.Command {
+	var o operator
+	c := &cobra.Command{Use: "licence", Short: "Look at the pools of counted licences and change their counts",
+		Long: "Licences are declared in the operators' settings (docs/licences.md). Counts that are set here are kept by\n" +
+			"the state service: they survive every controller, and go before what is declared until they are reset."}
+	o.flags(c)
+	c.AddCommand(
+		&cobra.Command{
+			Use: "list", Short: "List the pools: how many seats each has, who holds them, how many are free", Args: cobra.NoArgs,
+			RunE: func(c *cobra.Command, _ []string) error {
+				var vs []licences.View
+				if err := o.ask("GET", "/v2/licences", nil, &vs); err != nil {
+					return err
+				}
+				return o.show(c.OutOrStdout(), vs, func(t *tabwriter.Writer) {
+					fmt.Fprintln(t, "POOL\tCOUNT\tHELD\tLINGERING\tOTHERS\tRESERVE\tFREE\tSERVER")
+					for _, v := range vs {
+						fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", v.Pool, v.Count, v.Held+v.Booked, v.Lingering, v.Others, v.Reserve, v.Free, line(v))
+					}
+				})
+			},
+		},
+		&cobra.Command{
+			Use: "show POOL", Short: "Show one pool, with its teams", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				var v licences.View
+				if err := o.ask("GET", "/v2/licences/"+args[0], nil, &v); err != nil {
+					return err
+				}
+				return o.show(c.OutOrStdout(), v, func(t *tabwriter.Writer) { showPool(t, v) })
+			},
+		},
+		setCountCmd(&o))
+	return c
+}
+
+// line says in a word how far a pool's server can be believed.
+func line(v licences.View) string {
+	if v.Server == "" {
+		return "none"
+	}
+	if v.AgeS > 0 {
+		return fmt.Sprintf("%s, heard %.1f s ago", v.Line, v.AgeS)
+	}
+	return v.Line
+}
+
+func showPool(t *tabwriter.Writer, v licences.View) {
+	fmt.Fprintf(t, "pool\t%s\n", v.Pool)
+	set := ""
+	if v.Version > 0 {
+		set = fmt.Sprintf(" (set by %s, version %d; declared: %d)", orSomebody(v.SetBy), v.Version, v.Declared)
+	}
+	fmt.Fprintf(t, "count\t%d%s\n", v.Count, set)
+	fmt.Fprintf(t, "held\t%d, and %d booked for gangs that are starting\n", v.Held, v.Booked)
+	fmt.Fprintf(t, "lingering\t%d of tasks that are gone\n", v.Lingering)
+	fmt.Fprintf(t, "others\t%d, %d kept for them\n", v.Others, v.Reserve)
+	fmt.Fprintf(t, "free\t%d\n", v.Free)
+	fmt.Fprintf(t, "server\t%s %s\n", v.Server, line(v))
+	fmt.Fprintf(t, "when lowered\t%s\n", v.Lowering)
+	for _, m := range v.Teams {
+		fmt.Fprintf(t, "team %s\t%d, guaranteed %d, at most %s\n", m.Team, m.Units, m.Guarantee, orAny(m.Most))
+	}
+}
+
+func orAny(n int) string {
+	if n == 0 {
+		return "any number"
+	}
+	return fmt.Sprint(n)
+}
+
+func orSomebody(s string) string {
+	if s == "" {
+		return "somebody"
+	}
+	return s
+}
+
+func setCountCmd(o *operator) *cobra.Command {
+	var lower string
+	var reset bool
+	var version int64
+	c := &cobra.Command{
+		Use: "set-count POOL [N]", Short: "Set how many seats a pool has, while the service runs", Args: cobra.RangeArgs(1, 2),
+		Long: "Set how many seats a pool has. If that is below what is in use, nothing new starts until it fits again;\n" +
+			"with --on-lower stop the least costly holders are stopped, with time to save. --version makes the command\n" +
+			"depend on the version that `licence show` gave: if somebody changed the count since, it is refused (exit 3).",
+		Example: "  harewalk licence set-count transcribe 30\n  harewalk licence set-count transcribe 12 --on-lower stop --version 812\n" +
+			"  harewalk licence set-count transcribe --reset",
+		RunE: func(c *cobra.Command, args []string) error {
+			body := map[string]any{"by": whoami()}
+			switch {
+			case reset && len(args) == 1:
+				body["reset"] = true
+			case reset || len(args) == 1:
+				return coded{exitUsage, fmt.Errorf("give either a count or --reset")}
+			default:
+				var n int
+				if _, err := fmt.Sscanf(args[1], "%d", &n); err != nil || n < 0 || fmt.Sprint(n) != args[1] {
+					return coded{exitUsage, fmt.Errorf("count %q is not a whole number", args[1])}
+				}
+				body["count"] = n
+			}
+			if lower != "" {
+				body["on_lower"] = lower
+			}
+			if version >= 0 {
+				body["version"] = version
+			}
+			var v licences.View
+			if err := o.ask("POST", "/v2/licences/"+args[0], body, &v); err != nil {
+				return err
+			}
+			return o.show(c.OutOrStdout(), v, func(t *tabwriter.Writer) { showPool(t, v) })
+		},
+	}
+	c.Flags().StringVar(&lower, "on-lower", "", "wait or stop, what happens to holders beyond the new count (default: as declared)")
+	c.Flags().BoolVar(&reset, "reset", false, "go back to the count that is declared in the operators' settings")
+	c.Flags().Int64Var(&version, "version", -1, "refuse the command unless the count's version is still this one")
+	return c
+}
+
+func whoami() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return ""
+}
--- /dev/null
+++ b/cmd/harewalk/world_test.go
@@ -0,0 +1,335 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/capacity"
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/licences"
+	"github.com/harewalk/harewalk/internal/world"
+)
+
+// asProgram lets the test's own binary be the program: the controllers of a world are processes
+// of it.
+const asProgram = "HAREWALK_TEST_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// long tells whether the runs that take minutes are asked for.
+func long() bool { return os.Getenv("HAREWALK_LONG") != "" }
+
+// cluster starts the controllers of a world and waits until they are ready.
+func cluster(t *testing.T, w *world.World, operator string) *world.Cluster {
+	t.Helper()
+	dir := t.TempDir()
+	if keep := os.Getenv("HAREWALK_KEEP"); keep != "" {
+		dir = keep
+	}
+	c, err := w.Run(dir, operator, []string{asProgram + "=1", "LOG_LEVEL=info"}, os.Args[0], "serve")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	for i := range 3 {
+		if err := c.Start(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 3 {
+		if err := c.Ready(i, 20*time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return c
+}
+
+const pools = `
+licence "transcribe" {
+  count    = 24
+  server   = "%[1]s"
+  poll_s   = 0.5
+  linger_s = 3
+  reserve  = 2
+}
+licence "optimise" {
+  count    = 8
+  server   = "%[1]s"
+  poll_s   = 0.5
+  linger_s = 3
+  team "red" { guarantee = 2 }
+}
+`
+
+// licensed draws a job: arrays and gangs that need one pool, both or none.
+func licensed(rng *rand.Rand, n int) *jobs.Spec {
+	s := &jobs.Spec{ID: fmt.Sprintf("req-%06d", n), Class: "c", Team: []string{"red", "blue"}[rng.IntN(2)], Kind: jobs.Array,
+		Priority: []string{"urgent", "standard", "best_effort"}[rng.IntN(3)], Tasks: 2 + rng.IntN(12), CPUs: 1, Mem: 2,
+		Image: fmt.Sprintf("img-%d", rng.IntN(3)), ImageGB: 1, EstimateS: 0.4 + 0.6*rng.Float64(), Spot: rng.IntN(2) == 0}
+	if rng.IntN(4) == 0 {
+		s.Kind, s.Tasks = jobs.Gang, 1+rng.IntN(3)
+	}
+	if rng.IntN(3) == 0 {
+		s.CheckpointS, s.SaveS = 0.2, 0.2
+	}
+	switch rng.IntN(6) {
+	case 0:
+	case 1:
+		s.Licences = map[string]int{"optimise": 1}
+	case 2:
+		s.Licences = map[string]int{"transcribe": 1, "optimise": 1}
+	default:
+		s.Licences = map[string]int{"transcribe": 1 + rng.IntN(2)}
+	}
+	return s
+}
+
+// Tasks, workers, controllers and the licence server crash, hang and come back; commands land
+// late. The server, which counts on its own, never sees more seats taken than there are, every
+// job comes to its end, and no seat is lost for good.
+func TestSeatsThroughCrashes(t *testing.T) {
+	most, starts, often, seed := 40, 150, 2, uint64(1)
+	if long() {
+		most, starts, often = 1500, 5500, 2
+	}
+	w, err := world.New(world.Config{Seed: seed, Machines: 14, Pools: map[string]int{"transcribe": 24, "optimise": 8}, Linger: 3 * time.Second,
+		Types: []capacity.MachineType{{Name: "g4", CPUs: 8, GPUs: 2, Mem: 64, CacheGB: 100, FetchGB: 10, Price: 4, Spot: 1.5, BootS: 1, Zones: []string{"a", "b"}}},
+		Teams: []config.Team{{Name: "red", CPUs: 10, CPUsMax: 60}, {Name: "blue", CPUs: 10, CPUsMax: 60}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	c := cluster(t, w, fmt.Sprintf(pools, w.Licences.Addr))
+	u := w.Users(seed)
+	rng := rand.New(rand.NewPCG(seed, 3))
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		trouble(stop, w, c, often)
+	}()
+	n := 0
+	for ; w.Stats().Starts < starts; time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond) {
+		if n == most {
+			continue
+		}
+		n++
+		s := licensed(rng, n)
+		if status := u.Submit(s); status != 201 && status != 200 {
+			t.Fatalf("%s: status %d", s.ID, status)
+		}
+	}
+	close(stop)
+	<-stopped
+	if err := u.Wait(4 * time.Minute); err != nil {
+		t.Error(err)
+	}
+	for _, b := range w.Broken() {
+		t.Error(b)
+	}
+	for name, count := range map[string]int{"transcribe": 24, "optimise": 8} {
+		used, peak, denied := w.Licences.Use(name)
+		t.Logf("%s: %d seats, %d at the highest, %d refused, %d taken at the end", name, count, peak, denied, used)
+		if denied > 0 || used > 0 || peak < count/2 {
+			t.Errorf("%s: %d refused, %d taken, %d at the highest", name, denied, used, peak)
+		}
+	}
+	final, repeated := u.Final()
+	t.Logf("%d jobs: %v; %d requests repeated; %+v; %d controllers killed", n, final, repeated, w.Stats(), c.Kills)
+}
+
+// trouble plays faults until it is stopped, and heals what it broke.
+// often scales how many.
+func trouble(stop chan struct{}, w *world.World, c *world.Cluster, often int) {
+	rng := rand.New(rand.NewPCG(5, 5))
+	back := [3]time.Time{}
+	server := time.Time{}
+	for tick := 0; ; tick++ {
+		select {
+		case <-stop:
+			w.Licences.Down(false)
+			for i := range 3 {
+				_ = c.Start(i)
+			}
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+		now := time.Now()
+		for i := range 3 {
+			if !c.Runs(i) && now.After(back[i]) {
+				_ = c.Start(i)
+			}
+		}
+		if !server.IsZero() && now.After(server) {
+			w.Licences.Down(false)
+			server = time.Time{}
+		}
+		switch x := rng.IntN(400 / often); {
+		case x < 40:
+			w.CrashTask()
+		case x < 48:
+			w.KillMachine()
+		case x < 54:
+			w.Hang(time.Duration(1+rng.IntN(9)) * time.Second)
+		case x < 68:
+			w.Delay(time.Duration(1+rng.IntN(4)) * time.Second)
+		case x < 78 && tick > 20:
+			i := rng.IntN(3)
+			c.Kill(i)
+			back[i] = now.Add(time.Duration(200+rng.IntN(3000)) * time.Millisecond)
+		case x < 84 && server.IsZero():
+			w.Licences.Down(true)
+			server = now.Add(time.Duration(300+rng.IntN(2000)) * time.Millisecond)
+		}
+	}
+}
+
+// How many of the seats that are wanted are in use when nothing fails: a measurement.
+func TestSeatsUnderSaturation(t *testing.T) {
+	if !long() {
+		t.Skip("a measurement: set HAREWALK_LONG")
+	}
+	w, err := world.New(world.Config{Seed: 2, Machines: 12, Pools: map[string]int{"transcribe": 40, "optimise": 8}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	cluster(t, w, fmt.Sprintf(strings.NewReplacer("count    = 24", "count    = 40", "reserve  = 2", "").Replace(pools), w.Licences.Addr))
+	u := w.Users(2)
+	for n := range 6 {
+		s := &jobs.Spec{ID: fmt.Sprintf("req-%06d", n+1), Class: "c", Team: "red", Kind: jobs.Array, Priority: "standard", Tasks: 100, CPUs: 1,
+			Mem: 1, Image: "i", ImageGB: 1, EstimateS: 5, Licences: map[string]int{"transcribe": 1}}
+		if status := u.Submit(s); status != 201 {
+			t.Fatalf("status %d", status)
+		}
+	}
+	time.Sleep(10 * time.Second) // boots, fetches
+	sum, n := 0, 0
+	for range 400 {
+		used, _, _ := w.Licences.Use("transcribe")
+		sum, n = sum+used, n+1
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Logf("seats in use over seats wanted: %.3f (mean of %d looks at 40 seats, tasks of 5 s)", float64(sum)/float64(40*n), n)
+	if sum*100 < 95*40*n {
+		t.Error("below 0.95")
+	}
+	for _, b := range w.Broken() {
+		t.Error(b)
+	}
+}
+
+// command runs the program as an operator does; it returns what it printed and its exit code.
+func command(t *testing.T, args ...string) (string, int) {
+	t.Helper()
+	c := exec.Command(os.Args[0], args...)
+	c.Env = append(os.Environ(), asProgram+"=1")
+	out, err := c.CombinedOutput()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		t.Fatal(err)
+	}
+	return string(out), c.ProcessState.ExitCode()
+}
+
+// An operator looks at pools and changes their counts while tasks run, through any controller;
+// the count survives all controllers, and of two conflicting commands one is told of the other.
+func TestOperatorsCountLicences(t *testing.T) {
+	w, err := world.New(world.Config{Seed: 3, Machines: 4, Pools: map[string]int{"transcribe": 24, "optimise": 8}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	c := cluster(t, w, fmt.Sprintf(pools, w.Licences.Addr))
+	pool := func(node int) (v licences.View) {
+		t.Helper()
+		out, code := command(t, "licence", "show", "transcribe", "-o", "json", "--server", w.Public(node))
+		if err := json.Unmarshal([]byte(out), &v); code != 0 || err != nil {
+			t.Fatalf("exit %d, %v: %s", code, err, out)
+		}
+		return v
+	}
+	set := func(want int, args ...string) string {
+		t.Helper()
+		out, code := command(t, append([]string{"licence", "set-count", "transcribe", "--server", w.Public(1)}, args...)...)
+		if code != want {
+			t.Fatalf("set-count %v: exit %d, want %d: %s", args, code, want, out)
+		}
+		return out
+	}
+	s := &jobs.Spec{ID: "req-000001", Class: "c", Team: "red", Kind: jobs.Array, Priority: "standard", Tasks: 30, CPUs: 1, Mem: 1, Image: "i",
+		ImageGB: 1, EstimateS: 600, CheckpointS: 5, SaveS: 0.2, Licences: map[string]int{"transcribe": 1}}
+	u := w.Users(3)
+	if status := u.Submit(s); status != 201 {
+		t.Fatalf("status %d", status)
+	}
+	until := func(what string, ok func() bool) {
+		t.Helper()
+		for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(50 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: never; %+v", what, pool(0))
+			}
+		}
+	}
+	using := func(n int) func() bool {
+		return func() bool { used, _, _ := w.Licences.Use("transcribe"); return used == n }
+	}
+	until("all that may be given are in use", using(22))
+	before := pool(2)
+	if before.Held != 22 || before.Count != 24 || before.Free != 0 || before.Version != 0 {
+		t.Fatalf("%+v", before)
+	}
+	if out, code := command(t, "licence", "list", "--server", w.Public(0)); code != 0 || !strings.Contains(out, "transcribe  24") {
+		t.Fatalf("exit %d: %s", code, out)
+	}
+	set(0, "10", "--on-lower", "stop", "--version", "0")
+	until("stopped down to the new count", using(10))
+	w.Licences.SetCount("transcribe", 10)
+	if out := set(3, "30", "--version", "0"); !strings.Contains(out, "changed by") {
+		t.Fatalf("the second of two conflicting commands is told: %s", out)
+	}
+	for i := range 3 {
+		c.Kill(i)
+	}
+	for i := range 3 {
+		if err := c.Start(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	until("the count survives all controllers", func() bool { v := pool(0); return v.Count == 10 && v.Held == 10 && v.Lowering == licences.Stop })
+	w.Licences.SetCount("transcribe", 14)
+	set(0, "14")
+	until("raised", using(12))
+	w.Licences.SetCount("transcribe", 24)
+	set(0, "--reset")
+	until("reset", using(22))
+	for _, bad := range [][]string{{}, {"x"}, {"-1"}, {"5", "--reset"}, {"5", "--on-lower", "kill"}} {
+		set(2, bad...)
+	}
+	if out, code := command(t, "licence", "show", "nothing", "--server", w.Public(0)); code != 2 || !strings.Contains(out, `no licence pool "nothing"`) {
+		t.Fatalf("exit %d: %s", code, out)
+	}
+	wrong := *s
+	wrong.ID, wrong.Licences = "req-000002", map[string]int{"transcribe": 23}
+	if status := u.Submit(&wrong); status != 422 {
+		t.Fatalf("more than the pool could ever give: status %d", status)
+	}
+	u.Cancel(s.ID)
+	until("given back", using(0))
+	for _, b := range w.Broken() {
+		t.Error(b)
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -97,3 +97,86 @@
 		}
 	}
 }
+
+// Pools of licences are checked when they are read, and an error names the bad one.
+func TestLicencePools(t *testing.T) {
+	dir := t.TempDir()
+	load := func(body string) (*Settings, error) {
+		js, hcl := filepath.Join(dir, "s.json"), filepath.Join(dir, "o.hcl")
+		for name, raw := range map[string]string{js: settings, hcl: body} {
+			if err := os.WriteFile(name, []byte(raw), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return Load(js, hcl)
+	}
+	s, err := load(`licence "p" {
+  count = 10
+  server = "10.0.0.9:5053"
+  poll_s = 1.5
+  reserve = 1
+  team "t" {
+    guarantee = 3
+    most = 6
+  }
+  reserve_during "friday" {
+    seats = 4
+    days = "Fri"
+    from = "18:00"
+    to = "23:00"
+    zone = "Asia/Tokyo"
+  }
+}
+licence "q" { count = 0 }
+`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := s.Pools()[0]
+	friday := time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+	if len(s.Pools()) != 2 || p.Poll != 1500*time.Millisecond || p.Lowering != "wait" || p.Teams["t"].Most != 6 || p.ReserveAt(friday) != 4 || p.ReserveAt(friday.AddDate(0, 0, 1)) != 1 {
+		t.Fatalf("%+v", p)
+	}
+	for body, want := range map[string]string{
+		`licence "p" { count = -1 }`: "count", `licence "p" {}`: "o.hcl:1", `licence "a/b" { count = 1 }`: "licence[0].name",
+		"licence \"p\" { count = 1 }\nlicence \"p\" { count = 1 }\n": "declared twice",
+		`licence "p" {
+  count = 1
+  reserve = 2
+}`: "reserve 2 is more",
+		`licence "p" {
+  count = 1
+  on_lower = "kill"
+}`: "on_lower",
+		`licence "p" {
+  count = 4
+  team "nobody" {}
+}`: `team "nobody"`,
+		`licence "p" {
+  count = 4
+  team "t" { guarantee = 5 }
+}`: "guaranteed 5 seats",
+		`licence "p" {
+  count = 4
+  team "t" {
+    guarantee = 3
+    most = 2
+  }
+}`: "2 at most",
+		`licence "p" {
+  count = 4
+  reserve_during "x" {
+    seats = 1
+    days = "Fri"
+    from = "18:00"
+    to = "23:00"
+    zone = "Mars/Base"
+  }
+}`: "Mars/Base",
+		`operator_token_file = "/nowhere"`: "operator_token_file",
+	} {
+		if _, err := load(body); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: error %v does not name %s", body, err, want)
+		}
+	}
+}
--- a/internal/fleet/guards_test.go
+++ b/internal/fleet/guards_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/harewalk/harewalk/internal/config"
 	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/licences"
 	"github.com/harewalk/harewalk/internal/planner"
 	"github.com/harewalk/harewalk/internal/store"
 )
@@ -30,7 +31,7 @@
 	return newRigOf(t, term, kv, []config.Team{{Name: "t", CPUsMax: 4}})
 }
 
-func newRigOf(t testing.TB, term uint64, kv map[string]json.RawMessage, teams []config.Team) *rig {
+func newRigOf(t testing.TB, term uint64, kv map[string]json.RawMessage, teams []config.Team, pools ...*licences.Pool) *rig {
 	g := &rig{t: t, kv: kv, rev: 100 * term}
 	s := &config.Settings{}
 	s.Params.Teams = teams
@@ -38,6 +39,7 @@
 	s.Params.State.ValueKB = 8
 	s.Operator.NetworkFactor = 1
 	book := jobs.NewBook(0)
+	book.Door.Pools = licences.NewCatalog(pools)
 	var plans []store.Item
 	for k, v := range kv {
 		g.rev++
--- a/internal/intake/bench_test.go
+++ b/internal/intake/bench_test.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"github.com/harewalk/harewalk/internal/jobs"
-	"github.com/harewalk/harewalk/internal/statetest"
 	"github.com/harewalk/harewalk/internal/store"
+	"github.com/harewalk/harewalk/internal/world/state"
 )
 
 // polled is a controller that knows n jobs and has asked about nothing yet.
 func polled(n int) *desk {
-	d := newDesk(statetest.New())
+	d := newDesk(state.New())
 	d.MaxTasks = 1e6
 	for i := range n {
 		d.Submit(d.svc.Now, job(i), func(Reply) {})
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/harewalk/harewalk/internal/httpio"
 	"github.com/harewalk/harewalk/internal/jobs"
-	"github.com/harewalk/harewalk/internal/statetest"
 	"github.com/harewalk/harewalk/internal/store"
+	"github.com/harewalk/harewalk/internal/world/state"
 )
 
 func TestMain(m *testing.M) {
@@ -23,7 +23,7 @@
 // desk is one controller's intake before the stand-in; the test delivers answers.
 type desk struct {
 	*Intake
-	svc   *statetest.Service
+	svc   *state.Service
 	lose  bool // answers are lost after the request was carried out
 	drop  bool // requests are lost
 	queue []func()
@@ -53,7 +53,7 @@
 	}
 }
 
-func newDesk(svc *statetest.Service) *desk {
+func newDesk(svc *state.Service) *desk {
 	d := &desk{svc: svc}
 	st := store.New("", d, func() time.Duration { return svc.Now }, store.Share{RPS: 1e6, WriteRPS: 1e6, BurstS: 0.8}, 24)
 	book := jobs.NewBook(0)
@@ -109,7 +109,7 @@
 }
 
 func TestSubmitQueryAbort(t *testing.T) {
-	svc := statetest.New()
+	svc := state.New()
 	a, b := newDesk(svc), newDesk(svc)
 	if r := a.submit(t, job(1)); r.Status != 201 {
 		t.Fatalf("submit: %+v", r)
@@ -154,7 +154,7 @@
 // What a leader can't keep in memory, or the state service can't store, is refused at once:
 // twenty arrays of the largest size would have ended every leader one after the other.
 func TestSizesAreBounded(t *testing.T) {
-	svc := statetest.New()
+	svc := state.New()
 	d := newDesk(svc)
 	large := func(n, tasks int) *jobs.Spec {
 		s := job(n)
@@ -178,11 +178,11 @@
 	}
 	wide := job(9)
 	wide.Class = strings.Repeat("c", 9<<10)
-	if r := newDesk(statetest.New()).submit(t, wide); r.Status != 422 {
+	if r := newDesk(state.New()).submit(t, wide); r.Status != 422 {
 		t.Fatalf("more than a value holds: %+v", r)
 	}
 	n := map[int]int{}
-	e := newDesk(statetest.New())
+	e := newDesk(state.New())
 	e.MaxBytes = 20 * len(jobs.EncodeRecord(jobs.Pending, 0, 3, job(1)))
 	for i := range 100 {
 		e.Submit(0, job(i), func(r Reply) { n[r.Status]++ })
@@ -192,9 +192,47 @@
 	}
 }
 
+// What is refused today for lack of seats may have been accepted yesterday, or an instant ago by
+// another controller: only a fresh read says no.
+func TestSeatsRefusedOnlyAfterARead(t *testing.T) {
+	svc := state.New()
+	d := newDesk(svc)
+	s := job(1)
+	s.Team = "short of seats"
+	if r := d.submit(t, s); r.Status != 422 {
+		t.Fatalf("never accepted: %+v", r)
+	}
+	svc.Serve(httpio.Request{Method: "POST", Path: "/txn", Body: []byte(fmt.Sprintf(`{"if":[],"apply":[{"set":%q,"data":%s}]}`,
+		jobs.RecordKey(s.ID), jobs.EncodeRecord(jobs.Pending, 0, s.Tasks, s)))})
+	if r := d.submit(t, s); r.Status != 200 || stance(r) != "pending" {
+		t.Fatalf("accepted by another controller: %+v", r)
+	}
+	svc.Down = true
+	if r := newDesk(svc).submit(t, s); r.Status != 503 {
+		t.Fatalf("nobody can tell: %+v", r)
+	}
+}
+
+// Operators' commands need their token, or come from the controller's own machine where none is
+// set.
+func TestOperatorsToken(t *testing.T) {
+	for _, c := range []struct {
+		token, header, from string
+		may                 bool
+	}{
+		{"", "", "127.0.0.1", true}, {"", "", "10.0.0.7", false}, {"", "Bearer x", "10.0.0.7", false}, {"", "", "", false},
+		{"secret-secret-secret", "Bearer secret-secret-secret", "10.0.0.7", true}, {"secret-secret-secret", "", "127.0.0.1", false},
+		{"secret-secret-secret", "Bearer secret-secret-secreT", "127.0.0.1", false}, {"secret-secret-secret", "secret-secret-secret", "127.0.0.1", false},
+	} {
+		if ok, why := (&Operator{Token: c.token}).may(c.header, c.from); ok != c.may || ok == (why != "") {
+			t.Errorf("%+v: %v, %q", c, ok, why)
+		}
+	}
+}
+
 // A lost answer is resolved by a read: 201 and 200 are said only of what is stored.
 func TestOpenOutcomes(t *testing.T) {
-	svc := statetest.New()
+	svc := state.New()
 	d := newDesk(svc)
 	d.lose = true
 	if r := d.submit(t, job(1)); r.Status != 200 || svc.Keys[jobs.RecordKey("req-000001")].Version == 0 {
@@ -211,7 +249,7 @@
 
 // In an outage what can't be decided is refused at once; final states are still told.
 func TestOutage(t *testing.T) {
-	svc := statetest.New()
+	svc := state.New()
 	d := newDesk(svc)
 	d.submit(t, job(1))
 	d.submit(t, job(2))
@@ -241,7 +279,7 @@
 
 // The queue is bounded, and everybody gets an answer.
 func TestFloodIsShed(t *testing.T) {
-	svc := statetest.New()
+	svc := state.New()
 	d := newDesk(svc)
 	n := map[int]int{}
 	for i := range 3 * maxSubmits {
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+
+	"github.com/harewalk/harewalk/internal/licences"
 )
 
 const good = `{"name_id":"req-000412","breed":"train","warren":"vision","gait":"gang","urgency":"urgent","hops":16,
@@ -35,6 +37,12 @@
 		"a kind":         strings.Replace(good, `"gang"`, `"band"`, 1),
 		"a priority":     strings.Replace(good, `"urgent"`, `"soon"`, 1),
 		"a bool":         strings.Replace(good, `"stray":true`, `"stray":1`, 1),
+		"no seats":       strings.Replace(good, `"new":[1]`, `"licences":{"p":0}`, 1),
+		"half a seat":    strings.Replace(good, `"new":[1]`, `"licences":{"p":1.5}`, 1),
+		"seats of what":  strings.Replace(good, `"new":[1]`, `"licences":{"":1}`, 1),
+		"seats unnamed":  strings.Replace(good, `"new":[1]`, `"licences":[1]`, 1),
+		"many seats":     strings.Replace(good, `"new":[1]`, `"licences":{"p":100001}`, 1),
+		"many pools":     strings.Replace(good, `"new":[1]`, `"licences":{"1":1,"2":1,"3":1,"4":1,"5":1,"6":1,"7":1,"8":1,"9":1}`, 1),
 		"no types":       strings.Replace(good, `["g8"]`, `[]`, 1),
 		"too large":      strings.Replace(good, "vision", strings.Repeat("v", 64<<10), 1),
 	}
@@ -51,6 +59,35 @@
 }
 
 // Whatever users send, parsing returns a job within bounds or an error.
+// A job without licences is stored byte for byte as before there were any; one with them keeps
+// them, and where its pool is not declared nothing of it starts.
+func TestLicencesOfAJob(t *testing.T) {
+	s, err := ParseSpec([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	const was = `{"stance":"pending","at_ms":5,"n":16,"spec":{"name_id":"req-000412","breed":"train","warren":"vision","gait":"gang",` +
+		`"urgency":"urgent","hops":16,"cpus":8,"accelerators":1,"memory_gb":64,"pelt":"img-07","size_gb":6.2,"builds":["g8"],"meadow":null,` +
+		`"same_place":true,"apart":false,"stray":true,"stride_s":240,"rest_s":30,"stash_s":4,"dusk_s":900}}`
+	if raw := string(EncodeRecord(Pending, 5, 16, s)); raw != was {
+		t.Fatalf("stored as %s", raw)
+	}
+	s, err = ParseSpec([]byte(strings.Replace(good, `"new":[1]`, `"licences":{"p":2}`, 1)))
+	if err != nil || s.Licences["p"] != 2 {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	b := NewBook(0)
+	j, _, err := b.Apply(s.ID, EncodeRecord(Pending, 5, 16, s), 1)
+	if err != nil || len(j.Seats) != 1 || j.Seats[0].Pool != None {
+		t.Fatalf("seats %v of an undeclared pool, %v", j.Seats, err)
+	}
+	b = NewBook(0)
+	b.Door.Pools = licences.NewCatalog([]*licences.Pool{{Name: "o"}, {Name: "p"}})
+	if j, _, err = b.Apply(s.ID, EncodeRecord(Pending, 5, 16, s), 1); err != nil || j.Seats[0] != (licences.Unit{Pool: 1, N: 2}) {
+		t.Fatalf("seats %v, %v", j.Seats, err)
+	}
+}
+
 func TestHostileSubmissions(t *testing.T) {
 	rng := rand.New(rand.NewPCG(5, 5))
 	taken := 0
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/harewalk/harewalk/internal/httpio"
-	"github.com/harewalk/harewalk/internal/statetest"
 	"github.com/harewalk/harewalk/internal/store"
+	"github.com/harewalk/harewalk/internal/world/state"
 )
 
 func TestMain(m *testing.M) {
@@ -28,7 +28,7 @@
 type cluster struct {
 	t     *testing.T
 	rng   *rand.Rand
-	svc   *statetest.Service
+	svc   *state.Service
 	nodes []*node
 	net   []flight
 	terms map[uint64]string
@@ -137,7 +137,7 @@
 
 func newCluster(t *testing.T, seed uint64) *cluster {
 	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 3)), terms: map[uint64]string{},
-		svc: statetest.New()}
+		svc: state.New()}
 	for i := range 3 {
 		n := &node{c: c, name: fmt.Sprintf("n-%d", i)}
 		c.nodes = append(c.nodes, n)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/harewalk/harewalk/internal/httpio"
-	"github.com/harewalk/harewalk/internal/statetest"
 	"github.com/harewalk/harewalk/internal/store"
+	"github.com/harewalk/harewalk/internal/world/state"
 )
 
 func TestMain(m *testing.M) {
@@ -20,7 +20,7 @@
 
 // line answers each request at once from the stand-in, or as the test says.
 type line struct {
-	svc    *statetest.Service
+	svc    *state.Service
 	sent   int
 	answer func(httpio.Request) (httpio.Response, bool)
 }
@@ -89,7 +89,7 @@
 
 func TestOutcomes(t *testing.T) {
 	now := time.Duration(0)
-	l := &line{svc: statetest.New()}
+	l := &line{svc: state.New()}
 	c := store.New("", l, func() time.Duration { return now }, store.Share{RPS: 1000, WriteRPS: 1000, BurstS: 0.8}, 24)
 	var got store.Result
 	put := func(key string, version, hold uint64) store.Outcome {
@@ -132,7 +132,7 @@
 // its position is lost.
 func TestMirror(t *testing.T) {
 	now := time.Duration(0)
-	l := &line{svc: statetest.New()}
+	l := &line{svc: state.New()}
 	c := store.New("", l, func() time.Duration { return now }, store.Share{RPS: 1e6, WriteRPS: 1e6, BurstS: 0.8}, 24)
 	put := func(k, v string) {
 		l.svc.Serve(httpio.Request{Path: "/txn", Body: fmt.Appendf(nil, `{"if":[],"apply":[{"set":%q,"data":%q}]}`, k, v)})
--- /dev/null
+++ b/internal/world/faults.go
@@ -0,0 +1,123 @@
+package world
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/jobs"
+)
+
+// Know lets workers know a job, as users do who upload it with its submission.
+func (w *World) Know(s *jobs.Spec) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.specs[s.ID] = s
+}
+
+// Cancelled notes that a user was told that a job is cancelled.
+func (w *World) Cancelled(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, ok := w.told[id]; !ok {
+		w.told[id] = w.now()
+	}
+}
+
+// AllDone tells whether every task of a job is done.
+func (w *World) AllDone(id string, tasks int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for name, p := range w.tasks {
+		if p.done && strings.HasPrefix(name, id+"/") {
+			n++
+		}
+	}
+	return n == tasks
+}
+
+// up lists the machines that are up and do not hang.
+func (w *World) up() (ms []*Machine) {
+	now := w.now()
+	for _, m := range w.machines {
+		if !m.dead && now >= m.boots && now >= m.hungTill {
+			ms = append(ms, m)
+		}
+	}
+	return ms
+}
+
+// CrashTask lets one running task fail; false: none runs.
+func (w *World) CrashTask() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.shuffled() {
+		if i := slices.IndexFunc(m.tasks, func(k *task) bool { return k.state == running }); i >= 0 {
+			w.exit(w.now(), m.tasks[i], "error")
+			return true
+		}
+	}
+	return false
+}
+
+func (w *World) shuffled() []*Machine {
+	ms := w.up()
+	w.rng.Shuffle(len(ms), func(a, b int) { ms[a], ms[b] = ms[b], ms[a] })
+	return ms
+}
+
+// KillMachine ends one machine with all that is on it.
+func (w *World) KillMachine() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ms := w.shuffled()
+	if len(ms) == 0 {
+		return false
+	}
+	w.stats.MachinesKilled++
+	w.end(w.now(), ms[0])
+	return true
+}
+
+// Hang lets one machine stand still for a time. What ran on it goes on afterwards, unless its
+// lease has run out meanwhile.
+func (w *World) Hang(d time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ms := w.shuffled()
+	if len(ms) == 0 {
+		return false
+	}
+	w.stats.Hung++
+	ms[0].hungTill = w.now() + d
+	for _, k := range ms[0].tasks {
+		w.Licences.silent(w.now(), k)
+	}
+	return true
+}
+
+// Delay holds the next direct commands to one machine back for a time.
+func (w *World) Delay(d time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ms := w.shuffled()
+	if len(ms) == 0 {
+		return false
+	}
+	ms[0].late = d
+	return true
+}
+
+// Notice announces that the cloud takes one spot machine back after a time.
+func (w *World) Notice(d time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.shuffled() {
+		if m.spot && m.noticeAt == 0 {
+			m.noticeAt = w.now() + d
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/world/machine.go
@@ -0,0 +1,481 @@
+package world
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/harewalk/harewalk/internal/capacity"
+	"github.com/harewalk/harewalk/internal/fleet"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/planner"
+)
+
+type typ = capacity.MachineType
+
+// Machine is a rented machine and its worker.
+type Machine struct {
+	Name     string
+	addr     string
+	typ      typ
+	zone     string
+	spot     bool
+	rented   time.Duration
+	boots    time.Duration // when it is up
+	dead     bool
+	diedAt   time.Duration
+	returned bool
+	hungTill time.Duration
+	late     time.Duration // direct commands are held back for so long
+	noticeAt time.Duration // the cloud takes it then; 0: it does not
+
+	session, seq, token uint64
+	base                time.Duration // the lease counts from here
+	next                time.Duration // report
+	reported            string        // what the last report said, to see changes
+	lastSent            time.Duration
+	keeper              int // controller reported to
+	tasks               []*task
+	images              map[string]bool
+}
+
+// task is one attempt on a machine.
+type task struct {
+	name    string
+	spec    *jobs.Spec
+	attempt uint64
+	state   string
+	why     string
+	saved   bool
+	ready   time.Duration // has its image
+	waits   time.Duration // for its gang since
+	since   time.Duration // running since
+	work    float64       // seconds still to do when it began to run
+	flushed time.Duration // saved by then
+	counted bool          // on the machine, by the rules
+}
+
+// States and reasons on the wire.
+const (
+	pulling   = "pulling"
+	gathering = "gathering"
+	running   = "running"
+	flushing  = "flushing"
+	exited    = "exited"
+)
+
+// boot starts a machine; its worker reports once it is up.
+func (w *World) boot(now time.Duration, t typ, zone string, spot bool) (*Machine, error) {
+	m := &Machine{Name: machineName(len(w.machines) + 1), typ: t, zone: zone, spot: spot, rented: now,
+		boots: now + seconds(t.BootS*(0.6+0.9*w.rng.Float64())), session: 1, images: map[string]bool{}, keeper: w.rng.IntN(w.cfg.Controllers)}
+	var err error
+	if m.addr, err = w.serve(func(q request) (int, any) { return w.orders(m, q) }); err != nil {
+		return nil, err
+	}
+	m.base, m.next = m.boots, m.boots
+	w.machines = append(w.machines, m)
+	w.byName[m.Name] = m
+	w.done.Add(1)
+	go w.reports(m)
+	return m, nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// end takes a machine and everything on it away.
+func (w *World) end(now time.Duration, m *Machine) {
+	w.drop(now, m)
+	m.dead, m.diedAt = true, now
+}
+
+// drop ends a machine's tasks without notice.
+func (w *World) drop(now time.Duration, m *Machine) {
+	for _, k := range m.tasks {
+		if k.state != exited {
+			w.Licences.silent(now, k)
+		}
+	}
+	m.tasks = nil
+}
+
+// expire ends the session of a worker whose lease has run out.
+func (w *World) expire(now time.Duration, m *Machine) {
+	if now-m.base > seconds(w.cfg.Workers.LeaseS) {
+		w.stats.LeaseEnds++
+		w.drop(now, m)
+		m.session++
+		m.base = now
+	}
+}
+
+// live lets time pass on a machine.
+func (w *World) live(now time.Duration, m *Machine) {
+	if m.noticeAt > 0 && now >= m.noticeAt && !m.dead {
+		w.end(now, m)
+	}
+	if m.dead || now < m.boots || now < m.hungTill {
+		return
+	}
+	w.expire(now, m)
+	for _, k := range m.tasks {
+		w.move(now, m, k)
+	}
+}
+
+// move lets one task go on.
+func (w *World) move(now time.Duration, m *Machine, k *task) {
+	if at, ok := w.told[k.spec.ID]; ok && k.counted && k.state != exited && now > at+seconds(w.cfg.Workers.CancelS) {
+		w.fail("ran_cancelled: %s on %s", k.name, m.Name)
+	}
+	switch k.state {
+	case pulling:
+		if now < k.ready {
+			return
+		}
+		m.images[k.spec.Image] = true
+		w.begin(now, m, k)
+		k.state, k.waits = gathering, now
+		if k.spec.Kind != jobs.Gang {
+			w.runs(now, k)
+		}
+	case gathering:
+		switch {
+		case w.together(k) == k.spec.Tasks:
+			w.runs(now, k)
+		case now-k.waits > seconds(w.cfg.Workers.GangWaitS):
+			w.exit(now, k, "alone")
+		}
+	case running:
+		if !w.Licences.checkOut(now, k) {
+			w.exit(now, k, "error") // what the users call failing late and noisily
+			return
+		}
+		gang := k.spec.Kind == jobs.Gang
+		switch {
+		case gang && w.together(k) < k.spec.Tasks && w.stat(k).done:
+			w.exit(now, k, "done")
+		case gang && w.together(k) < k.spec.Tasks:
+			w.exit(now, k, "peers")
+		case k.spec.Kind != jobs.Service && now-k.since >= seconds(k.work):
+			w.finish(now, k)
+		}
+	case flushing:
+		if now >= k.flushed {
+			p := w.stat(k)
+			p.saved = min(k.spec.EstimateS, p.saved+(k.flushed-k.since).Seconds()-k.spec.SaveS)
+			k.saved = true
+			w.exit(now, k, "halted")
+		}
+	}
+}
+
+func (w *World) stat(k *task) *progress {
+	p := w.tasks[k.name]
+	if p == nil {
+		p = &progress{}
+		w.tasks[k.name] = p
+	}
+	return p
+}
+
+func (w *World) runs(now time.Duration, k *task) {
+	k.state, k.since = running, now
+	k.work = max(0.01, (k.spec.EstimateS-w.stat(k).saved)*(0.8+0.4*w.rng.Float64()))
+}
+
+// exit ends a task by itself: what it held it gives back, unless it fails.
+func (w *World) exit(now time.Duration, k *task, why string) {
+	k.state, k.why, k.counted = exited, why, false
+	if why == "error" {
+		w.stats.Crashed++
+		w.Licences.silent(now, k)
+		return
+	}
+	w.Licences.checkIn(k)
+}
+
+func (w *World) finish(now time.Duration, k *task) {
+	w.stat(k).done = true
+	w.exit(now, k, "done")
+	w.stats.Done++
+	if k.spec.Kind == jobs.Gang {
+		for t := range k.spec.Tasks {
+			w.stat(&task{name: k.spec.ID + "/" + strconv.Itoa(t)}).done = true
+		}
+	}
+}
+
+// together counts the tasks of an attempt that have their image.
+func (w *World) together(k *task) (n int) {
+	for _, o := range w.machines {
+		for _, x := range o.tasks {
+			if x.spec.ID == k.spec.ID && x.attempt == k.attempt && x.counted {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// begin is the moment a task has its image: the rules look here.
+func (w *World) begin(_ time.Duration, m *Machine, k *task) {
+	k.counted = true
+	w.stats.Starts++
+	var use planner.Size
+	for _, o := range w.machines {
+		for _, x := range o.tasks {
+			if !x.counted || o.dead {
+				continue
+			}
+			if x.name == k.name && x != k {
+				w.fail("ran_twice: %s on %s and %s", k.name, o.Name, m.Name)
+			}
+			if x.spec.Team == k.spec.Team {
+				use = use.Add(x.spec.Size())
+			}
+		}
+	}
+	for _, t := range w.cfg.Teams {
+		if t.Name == k.spec.Team && ((t.CPUsMax > 0 && use.CPUs > t.CPUsMax+1e-6) || (t.GPUsMax > 0 && use.GPUs > t.GPUsMax+1e-6)) {
+			w.fail("quota: team %s uses %v with %s", t.Name, use, k.name)
+		}
+	}
+}
+
+// report is what a worker tells of itself.
+func (w *World) report(now time.Duration, m *Machine) fleet.Report {
+	m.seq++
+	r := fleet.Report{Machine: m.Name, Addr: m.addr, Type: m.typ.Name, Zone: m.zone, Spot: m.spot, Session: m.session, Seq: m.seq,
+		Token: m.token, Tasks: []fleet.TaskReport{}}
+	if m.noticeAt > 0 {
+		s := (m.noticeAt - now).Seconds()
+		r.NoticeS = &s
+	}
+	for _, k := range m.tasks {
+		r.Tasks = append(r.Tasks, fleet.TaskReport{Task: k.name, Attempt: k.attempt, State: k.state, Why: k.why, Saved: k.saved})
+	}
+	return r
+}
+
+// orders is a worker's direct entry. A machine that hangs takes what waits once it resumes,
+// and commands that are held back on the way are carried out long after their sender gave up.
+func (w *World) orders(m *Machine, q request) (int, any) {
+	for {
+		w.mu.Lock()
+		now := w.now()
+		wait := max(m.hungTill-now, m.late)
+		dead := m.dead || now < m.boots
+		if wait <= 0 && !dead {
+			break
+		}
+		if m.late > 0 {
+			w.stats.LateOrders++
+			m.late = 0
+		}
+		w.mu.Unlock()
+		if dead {
+			return 504, nil
+		}
+		select {
+		case <-time.After(wait):
+		case <-w.stop:
+			return 504, nil
+		}
+	}
+	defer w.mu.Unlock()
+	now := w.now()
+	w.expire(now, m)
+	if q.path == "/status" {
+		return 200, w.report(now, m)
+	}
+	var o struct {
+		Token    *uint64         `json:"mark"`
+		Session  *uint64         `json:"run"`
+		Commands []fleet.Command `json:"calls"`
+	}
+	if json.Unmarshal(q.body, &o) != nil || o.Token == nil || o.Session == nil {
+		return 400, nil
+	}
+	if *o.Token < m.token || *o.Session != m.session {
+		return 409, w.report(now, m)
+	}
+	m.token = *o.Token
+	w.execute(now, m, o.Commands)
+	return 200, w.report(now, m)
+}
+
+// execute carries commands out.
+func (w *World) execute(now time.Duration, m *Machine, cs []fleet.Command) {
+	for _, c := range cs {
+		i := slices.IndexFunc(m.tasks, func(k *task) bool { return k.name == c.Task && k.attempt == c.Attempt })
+		switch c.Op {
+		case "launch":
+			if i < 0 {
+				m.tasks = append(m.tasks, w.launch(now, m, c))
+			}
+		case "halt":
+			if i >= 0 && m.tasks[i].state != exited {
+				w.halt(now, m.tasks[i], c)
+			}
+		case "forget":
+			if i >= 0 && m.tasks[i].state == exited {
+				m.tasks = slices.Delete(m.tasks, i, i+1)
+			}
+		}
+	}
+}
+
+func (w *World) launch(now time.Duration, m *Machine, c fleet.Command) *task {
+	id, _, _ := strings.Cut(c.Task, "/")
+	k := &task{name: c.Task, attempt: c.Attempt, spec: w.specs[id], state: pulling, ready: now}
+	if k.spec == nil {
+		k.spec = &jobs.Spec{ID: id}
+		k.state, k.why = exited, "no_such"
+		return k
+	}
+	free := m.typ.Size()
+	for _, o := range m.tasks {
+		if o.state == exited {
+			continue
+		}
+		if o.name == c.Task {
+			k.state, k.why = exited, "in_use"
+			return k
+		}
+		free = free.Sub(o.spec.Size())
+	}
+	if !k.spec.Size().Fits(free) {
+		k.state, k.why = exited, "full"
+		return k
+	}
+	if !m.images[k.spec.Image] {
+		k.ready = now + seconds(k.spec.ImageGB/m.typ.FetchGB)
+	}
+	return k
+}
+
+func (w *World) halt(now time.Duration, k *task, c fleet.Command) {
+	grace := 0.0
+	if c.GraceS != nil {
+		grace = *c.GraceS
+	}
+	switch {
+	case k.state == flushing && grace > 0:
+	case k.state == running && k.spec.CheckpointS > 0 && grace >= k.spec.SaveS && k.spec.Kind != jobs.Gang:
+		k.state, k.flushed = flushing, now+seconds(k.spec.SaveS)
+	default:
+		w.exit(now, k, "halted")
+	}
+}
+
+// reports sends a worker's reports until the machine or the world ends.
+func (w *World) reports(m *Machine) {
+	defer w.done.Done()
+	client := &fasthttp.Client{Dial: fasthttp.Dial, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}
+	defer client.CloseIdleConnections()
+	gap := min(500*time.Millisecond, seconds(w.cfg.Workers.ReportS/4))
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(step):
+		}
+		w.mu.Lock()
+		now := w.now()
+		if m.dead {
+			w.mu.Unlock()
+			return
+		}
+		due := now >= m.next || (now-m.lastSent >= gap && m.said() != m.reported)
+		if now < m.boots || now < m.hungTill || !due {
+			w.mu.Unlock()
+			continue
+		}
+		w.expire(now, m)
+		r := w.report(now, m)
+		body, _ := json.Marshal(r)
+		m.reported, m.lastSent = m.said(), now
+		m.next = now + seconds(w.cfg.Workers.ReportS*(0.75+0.5*w.rng.Float64()))
+		to := w.settings[m.keeper].Public
+		w.mu.Unlock()
+		status, answer := post(client, "http://"+to+"/checkin", body, 4*time.Second)
+		w.answered(m, now, r.Session, status, answer)
+	}
+}
+
+// said is what of a report changes with its tasks.
+func (m *Machine) said() string {
+	var b strings.Builder
+	fmt.Fprint(&b, m.session, m.noticeAt)
+	for _, k := range m.tasks {
+		b.WriteString(k.name + k.state)
+	}
+	return b.String()
+}
+
+func post(c *fasthttp.Client, url string, body []byte, wait time.Duration) (int, []byte) {
+	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	q.SetRequestURI(url)
+	q.Header.SetMethod("POST")
+	q.Header.SetContentType("application/json")
+	q.SetBody(body)
+	if err := c.DoTimeout(q, p, wait); err != nil {
+		return 0, nil
+	}
+	defer func() { fasthttp.ReleaseRequest(q); fasthttp.ReleaseResponse(p) }()
+	return p.StatusCode(), append([]byte(nil), p.Body()...)
+}
+
+// answered takes the answer to a report.
+func (w *World) answered(m *Machine, sent time.Duration, session uint64, status int, body []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.now()
+	for now < m.hungTill && !m.dead { // it reads the answer once it resumes
+		w.mu.Unlock()
+		time.Sleep(step)
+		w.mu.Lock()
+		now = w.now()
+	}
+	w.expire(now, m)
+	if m.dead || m.session != session || now-sent > 4*time.Second {
+		return
+	}
+	switch status {
+	case 200:
+		var a fleet.Answer
+		if json.Unmarshal(body, &a) != nil || a.Token < m.token {
+			return
+		}
+		if a.Token > m.token {
+			m.next = now + 100*time.Millisecond
+		}
+		m.token, m.base = a.Token, sent
+		w.execute(now, m, a.Commands)
+		return
+	case 421:
+		var a struct {
+			Keeper string `json:"keeper"`
+		}
+		_ = json.Unmarshal(body, &a)
+		i := slices.IndexFunc(w.cfgNodes(), func(n string) bool { return n == a.Keeper })
+		if i >= 0 && i != m.keeper {
+			m.keeper, m.next = i, now
+			return
+		}
+	}
+	m.keeper = (m.keeper + 1) % w.cfg.Controllers
+	m.next = now + seconds(min(1, w.cfg.Workers.ReportS))
+}
+
+func (w *World) cfgNodes() (ns []string) {
+	for _, s := range w.settings {
+		ns = append(ns, s.Node)
+	}
+	return ns
+}
--- a/internal/statetest/statetest.go
+++ b/internal/world/state/state.go
@@ -1,6 +1,7 @@
-// Package statetest is a stand-in for the state service, by its protocol, for tests: keys,
-// holds, transactions, lists and follows, without rates and without a clock of its own.
-package statetest
+// Package state is a stand-in for the state service, by its protocol: keys, holds,
+// transactions, lists and follows, without rates and without a clock of its own. Tests call it
+// directly; package world serves it over HTTP, with rates, waits and outages.
+package state
 
 import (
 	"encoding/json"
@@ -14,6 +15,9 @@
 	"github.com/harewalk/harewalk/internal/store"
 )
 
+// kept is how many changes can be followed from.
+const kept = 10_000
+
 // Service is a stand-in for the state service: keys, holds and transactions, without rates.
 type Service struct {
 	Now  time.Duration
@@ -24,6 +28,22 @@
 
 	holds map[uint64]hold
 	next  uint64
+	log   []change // the newest changes, oldest first
+}
+
+// change is one followed change and the revision it belongs to.
+type change struct {
+	key string
+	rev uint64
+	ev  store.Event
+}
+
+// note keeps a change for those who follow.
+func (s *Service) note(key string, ev store.Event) {
+	if s.log = append(s.log, change{key, ev.Version, ev}); len(s.log) > 2*kept {
+		s.log = append([]change(nil), s.log[kept:]...)
+		s.Gone = max(s.Gone, s.log[0].rev)
+	}
 }
 
 // New makes an empty service.
@@ -57,6 +77,7 @@
 		if it.Hold == id {
 			delete(s.Keys, k)
 			s.Rev++
+			s.note(k, store.Event{Delete: k, Version: s.Rev})
 		}
 	}
 }
@@ -102,20 +123,26 @@
 				return reply(400, map[string]string{"error": "no such lease"})
 			}
 		}
+		var failed []string
 		for _, c := range t.If {
 			if s.Keys[c.Key].Version != c.Version {
-				return reply(409, map[string]any{"failed": []string{c.Key}})
+				failed = append(failed, c.Key)
 			}
 		}
+		if failed != nil {
+			return reply(409, map[string]any{"failed": failed, "epoch": s.Rev})
+		}
 		if len(t.Then) > 0 {
 			s.Rev++
 		}
 		for _, o := range t.Then {
 			if o.Delete != "" {
 				delete(s.Keys, o.Delete)
+				s.note(o.Delete, store.Event{Delete: o.Delete, Version: s.Rev})
 				continue
 			}
 			s.Keys[o.Put] = store.Item{Key: o.Put, Value: o.Value, Version: s.Rev, Hold: o.Hold}
+			s.note(o.Put, store.Event{Put: o.Put, Value: o.Value, Version: s.Rev})
 		}
 		return reply(200, map[string]uint64{"epoch": s.Rev})
 	case strings.HasPrefix(r.Path, "/keys/"):
@@ -149,18 +176,27 @@
 	return reply(200, map[string]any{"pairs": items, "has_next": len(names) > limit, "epoch": s.Rev})
 }
 
-// follow answers at once with what has changed; drops are not shown.
+// follow answers at once with what has changed.
 func (s *Service) follow(prefix, since string) httpio.Response {
 	after, _ := strconv.ParseUint(since, 10, 64)
-	if after < s.Gone {
+	ev, ok := s.Since(prefix, after)
+	if !ok {
 		return reply(410, nil)
 	}
-	var ev []store.Event
-	for k, it := range s.Keys {
-		if strings.HasPrefix(k, prefix) && it.Version > after {
-			ev = append(ev, store.Event{Put: k, Value: it.Value, Version: it.Version})
+	return reply(200, map[string]any{"epoch": s.Rev, "events": ev})
+}
+
+// Since lists the changes of keys with a prefix after a revision; ok is false if they are no
+// longer kept.
+func (s *Service) Since(prefix string, after uint64) (evs []store.Event, ok bool) {
+	if after < s.Gone {
+		return nil, false
+	}
+	i := sort.Search(len(s.log), func(i int) bool { return s.log[i].rev > after })
+	for _, c := range s.log[i:] {
+		if strings.HasPrefix(c.key, prefix) {
+			evs = append(evs, c.ev)
 		}
 	}
-	sort.Slice(ev, func(a, b int) bool { return ev[a].Version < ev[b].Version })
-	return reply(200, map[string]any{"epoch": s.Rev, "events": ev})
+	return evs, true
 }
--- /dev/null
+++ b/internal/world/users.go
@@ -0,0 +1,174 @@
+package world
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/harewalk/harewalk/internal/jobs"
+)
+
+// Users submit jobs, follow them to their end and watch that no answer contradicts another.
+type Users struct {
+	w      *World
+	client *fasthttp.Client
+	wait   sync.WaitGroup
+	mu     sync.Mutex
+	rng    *rand.Rand
+	final  map[string]string // the final answer of each accepted job
+	open   map[string]bool
+	refuse int
+}
+
+// Users makes a crowd of users.
+func (w *World) Users(seed uint64) *Users {
+	return &Users{w: w, client: &fasthttp.Client{MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true},
+		rng: rand.New(rand.NewPCG(seed, 11)), final: map[string]string{}, open: map[string]bool{}}
+}
+
+// view is a job as users are told of it.
+type view struct {
+	ID     string `json:"name_id"`
+	Stance string `json:"stance"`
+}
+
+func (u *Users) somebody() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.w.Public(u.rng.IntN(u.w.cfg.Controllers))
+}
+
+// call asks a controller; status 0: no answer.
+func (u *Users) call(method, path string, body []byte) (int, view, []byte) {
+	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	q.SetRequestURI("http://" + u.somebody() + path)
+	q.Header.SetMethod(method)
+	q.SetConnectionClose()
+	if body != nil {
+		q.Header.SetContentType("application/json")
+		q.SetBody(body)
+	}
+	if u.client.DoTimeout(q, p, 5*time.Second) != nil {
+		return 0, view{}, nil
+	}
+	defer func() { fasthttp.ReleaseRequest(q); fasthttp.ReleaseResponse(p) }()
+	var v view
+	_ = json.Unmarshal(p.Body(), &v)
+	return p.StatusCode(), v, append([]byte(nil), p.Body()...)
+}
+
+// Submit hands a job in, again for up to a minute, and then follows it until it is over or
+// the world's end; it returns the first final status of the submission, 0 if none came.
+func (u *Users) Submit(s *jobs.Spec) int {
+	u.w.Know(s)
+	body, _ := json.Marshal(s)
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); {
+		status, _, _ := u.call("POST", "/v2/runs", body)
+		switch status {
+		case 200, 201:
+			u.mu.Lock()
+			u.open[s.ID] = true
+			u.mu.Unlock()
+			u.wait.Add(1)
+			go u.follow(s)
+			return status
+		case 400, 422:
+			return status
+		}
+		u.mu.Lock()
+		u.refuse++
+		u.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+	}
+	return 0
+}
+
+// Cancel asks for a job's end until an answer comes.
+func (u *Users) Cancel(id string) string {
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
+		if status, v, _ := u.call("POST", "/v2/runs/"+id+"/abort", []byte("{}")); status == 200 {
+			if v.Stance == "cancelled" {
+				u.w.Cancelled(id)
+			}
+			return v.Stance
+		}
+	}
+	return ""
+}
+
+// follow polls until a job is over, and once more later: what was said stays.
+func (u *Users) follow(s *jobs.Spec) {
+	defer u.wait.Done()
+	var was string
+	for polls := 0; ; {
+		select {
+		case <-u.w.stop:
+			return
+		case <-time.After(400 * time.Millisecond):
+		}
+		status, v, _ := u.call("GET", "/v2/runs/"+s.ID, nil)
+		if status != 200 {
+			if status == 404 {
+				u.w.broke("forgotten: %s", s.ID)
+				return
+			}
+			continue
+		}
+		if was != "" && v.Stance != was {
+			u.w.broke("went_back: %s was %s and is %s", s.ID, was, v.Stance)
+		}
+		if v.Stance != "done" && v.Stance != "cancelled" {
+			continue
+		}
+		if was == "" && v.Stance == "done" && !u.w.AllDone(s.ID, s.Tasks) {
+			u.w.broke("not_done: %s is called done", s.ID)
+		}
+		was = v.Stance
+		if polls++; polls == 3 {
+			u.mu.Lock()
+			u.final[s.ID] = was
+			delete(u.open, s.ID)
+			u.mu.Unlock()
+			return
+		}
+	}
+}
+
+func (w *World) broke(format string, a ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fail(format, a...)
+}
+
+// Wait waits until all accepted jobs are over, and says which are not after a time.
+func (u *Users) Wait(d time.Duration) error {
+	done := make(chan struct{})
+	go func() { u.wait.Wait(); close(done) }()
+	select {
+	case <-done:
+		return nil
+	case <-time.After(d):
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var ids []string
+	for id := range u.open {
+		ids = append(ids, id)
+	}
+	return fmt.Errorf("%d jobs are not over after %v: %v", len(ids), d, ids[:min(5, len(ids))])
+}
+
+// Final counts the jobs by their final answer; refused is how many requests had to be repeated.
+func (u *Users) Final() (byAnswer map[string]int, refused int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	byAnswer = map[string]int{}
+	for _, a := range u.final {
+		byAnswer[a]++
+	}
+	return byAnswer, u.refuse
+}
