Sessions: activity, policy, warning, save and reclaim as a state machine

Need: notebooks left open hold machines that waiting work needs. internal/sessions keeps sessions as jobs of one replica: what their agents say, when a policy (an expression over the activity, with other limits in hours of the week) calls them idle, and the way from a warning over a save to being reclaimed. A job is parked only once its agent has frozen it with nothing unsaved and that is durable. Silence is doubt and never reclaims.

Off unless the operators' settings declare sessions.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/hcl/v2/hclsimple"
 
 	"github.com/harewalk/harewalk/internal/licences"
+	"github.com/harewalk/harewalk/internal/sessions"
 )
 
 // Peer is another controller.
@@ -145,6 +146,7 @@
 	// Operator is never read from the platform's file.
 	Operator Operator `json:"-"`
 	pools    []*licences.Pool
+	sessions *sessions.Policies
 }
 
 // Operator holds the operators' own settings, all optional, written in HCL.
@@ -167,6 +169,8 @@
 	OperatorTokenFile string `hcl:"operator_token_file,optional"`
 	// Licences are the pools of counted licences.
 	Licences []LicencePool `hcl:"licence,block" validate:"dive"`
+	// Sessions switch interactive sessions on.
+	Sessions *SessionSettings `hcl:"sessions,block" validate:"omitnil"`
 
 	// Token is what the file held.
 	Token string
@@ -226,6 +230,9 @@
 		if err := s.derivePools(); err != nil {
 			return nil, fmt.Errorf("%s: %w", hclPath, err)
 		}
+		if err := s.deriveSessions(); err != nil {
+			return nil, fmt.Errorf("%s: %w", hclPath, err)
+		}
 		if err := s.Operator.readToken(); err != nil {
 			return nil, fmt.Errorf("%s: %w", hclPath, err)
 		}
@@ -259,6 +266,7 @@
 		return nil, fmt.Errorf("settings are not valid JSON: %w", err)
 	}
 	s.derive()
+	s.sessions = &sessions.Policies{}
 	if err := newValidator().Struct(s); err != nil {
 		return nil, explain(err)
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -23,6 +23,7 @@
 	"github.com/harewalk/harewalk/internal/membership"
 	"github.com/harewalk/harewalk/internal/peers"
 	"github.com/harewalk/harewalk/internal/quota"
+	"github.com/harewalk/harewalk/internal/sessions"
 	"github.com/harewalk/harewalk/internal/store"
 )
 
@@ -79,6 +80,7 @@
 	// While leading.
 	fleet   *fleet.Fleet
 	cap     *capacity.Manager
+	sess    *sessions.Manager // nil where sessions are off
 	loading bool
 	loadAt  time.Duration
 	steady  time.Duration // since when authority was not interrupted
@@ -165,7 +167,7 @@
 	fail := make(chan error, 1)
 	go func() {
 		fail <- intake.Serve(public, intake.Routes{Post: c.loop.Offer, PostReport: c.loop.OfferWorker, Now: c.loop.Now, Intake: c.in, Up: c.up,
-			Report: c.report, Operator: c.operator(), MaxConns: c.s.Params.Limits.Conns()})
+			Report: c.report, Leader: c.leaderCalls(), MaxConns: c.s.Params.Limits.Conns()})
 	}()
 	slog.Info("serving", "node", c.s.Node, "public", c.s.Public, "hold_ms", c.s.Operator.HoldTTLMS,
 		"money_counts", c.s.MoneyCounts(), "objectives", len(c.s.Params.Objectives))
@@ -173,12 +175,35 @@
 	return <-fail
 }
 
-// operator is how operators' requests are answered, nil where there is nothing to ask about.
-func (c *Controller) operator() *intake.Operator {
-	if len(c.pools.Pools()) == 0 {
+// leaderCalls are the requests that only the leader can answer, nil where there are none.
+func (c *Controller) leaderCalls() *intake.Leader {
+	l := &intake.Leader{Token: c.s.Operator.Token, Answer: c.leaderCall, Licences: len(c.pools.Pools()) > 0, Sessions: c.s.Sessions().On}
+	if !l.Licences && !l.Sessions {
 		return nil
 	}
-	return &intake.Operator{Token: c.s.Operator.Token, Licences: c.licenceCall}
+	return l
+}
+
+// leaderCall answers such a request, or says who leads.
+func (c *Controller) leaderCall(now time.Duration, q intake.Call, reply func(intake.Reply)) {
+	switch {
+	case c.mem.State() != membership.Leading || c.fleet == nil:
+		l := c.mem.Leader()
+		if l.Node == "" {
+			reply(intake.Refuse(503, "no controller leads"))
+			return
+		}
+		reply(intake.Reply{Status: 421, Body: struct {
+			Error  string `json:"error"`
+			Leader string `json:"leader"`
+		}{"only the leader knows", l.Public}})
+	case !c.mem.Authority(now) || !c.fleet.Loaded():
+		reply(intake.Refuse(503, "the leader may not act now"))
+	case q.What == "licences":
+		c.licenceCall(now, q, reply)
+	default:
+		c.sessionCall(now, q, reply)
+	}
 }
 
 // item takes over a followed key.
@@ -322,39 +347,45 @@
 	c.book.Recall()
 	c.fleet = fleet.New(fleet.Env{
 		Settings: c.s, Book: c.book, Rng: c.rng, TxnOps: c.s.Params.State.TxnOps - 1, MaxOrders: c.s.Params.Limits.Outgoing(workerSlots), Now: c.loop.Now, Learned: c.learned,
-		Types: func(ix int32) *fleet.Type { return c.byType[ix] },
-		Room:  func(n int) bool { return c.store.Room(n, store.Bulk) },
-		Spare: c.store.Spare,
-		Commit: func(t store.Txn, done func(store.Result)) {
-			t.If = append([]store.Cond{c.mem.Guard()}, t.If...)
-			f := c.fleet
-			c.store.Txn(t, store.Bulk, func(r store.Result) {
-				if c.fleet == f {
-					done(r)
-				}
-			})
-		},
-		Read: func(key string, done func(store.Item, error)) {
-			f := c.fleet
-			c.store.Get(key, store.Safety, func(it store.Item, err error) {
-				if c.fleet == f {
-					done(it, err)
-				}
-			})
-		},
-		Order: c.order,
+		Types:  func(ix int32) *fleet.Type { return c.byType[ix] },
+		Room:   func(n int) bool { return c.store.Room(n, store.Bulk) },
+		Spare:  c.store.Spare,
+		Commit: func(t store.Txn, done func(store.Result)) { c.commit(t, store.Bulk, done) },
+		Read:   c.read,
+		Order:  c.order,
 	}, term, now)
 	c.cap = capacity.New(c.s, c.cloud, c.fleet, c.book.Door, func() []capacity.MachineType { return c.types }, term)
 	c.loading, c.loadAt, c.had = false, now, false
 }
 
+// commit sends a transaction of the leader's term; its answer counts only within it.
+func (c *Controller) commit(t store.Txn, class store.Class, done func(store.Result)) {
+	t.If = append([]store.Cond{c.mem.Guard()}, t.If...)
+	f := c.fleet
+	c.store.Txn(t, class, func(r store.Result) {
+		if c.fleet == f {
+			done(r)
+		}
+	})
+}
+
+// read re-reads a key for the leader's term.
+func (c *Controller) read(key string, done func(store.Item, error)) {
+	f := c.fleet
+	c.store.Get(key, store.Safety, func(it store.Item, err error) {
+		if c.fleet == f {
+			done(it, err)
+		}
+	})
+}
+
 // lose ends a term: nothing of its state may be used any more.
 func (c *Controller) lose(time.Duration) {
 	c.store.SetShare(c.share(false))
 	if c.cap != nil {
 		c.cap.Close()
 	}
-	c.fleet, c.cap, c.loading = nil, nil, false
+	c.fleet, c.cap, c.sess, c.loading = nil, nil, nil, false
 	c.book.Recall()
 }
 
@@ -403,6 +434,9 @@
 	}
 	c.had = auth
 	c.fleet.Tick(now, auth)
+	if auth && c.sess != nil {
+		c.sess.Tick(now)
+	}
 	if auth {
 		c.askServers(now)
 		c.cap.Tick(now, c.steady)
@@ -431,17 +465,34 @@
 	}
 	c.loading = true
 	f := c.fleet
-	c.store.List(jobs.PlanPrefix, func(items []store.Item, _ uint64, err error) {
-		if c.fleet != f {
-			return
-		}
-		at := c.loop.Now()
-		c.loading = false
-		if err != nil {
-			c.loadAt = at + 200*time.Millisecond
-			return
-		}
-		f.Load(at, items)
+	// list reads keys; what goes wrong begins anew a little later.
+	list := func(prefix string, then func(at time.Duration, items []store.Item)) {
+		c.store.List(prefix, func(items []store.Item, _ uint64, err error) {
+			if c.fleet != f {
+				return
+			}
+			at := c.loop.Now()
+			if err != nil {
+				c.loading, c.loadAt = false, at+200*time.Millisecond
+				return
+			}
+			then(at, items)
+		})
+	}
+	plans := func() {
+		list(jobs.PlanPrefix, func(at time.Duration, items []store.Item) {
+			c.loading = false
+			f.Load(at, items)
+		})
+	}
+	if c.sess = c.newSessions(f.Term); c.sess == nil {
+		plans()
+		return
+	}
+	// Which sessions are reclaimed must be known before anything is planned.
+	list(sessions.Prefix, func(at time.Duration, items []store.Item) {
+		c.sess.Load(at, items)
+		plans()
 	})
 }
 
--- a/internal/controller/licences.go
+++ b/internal/controller/licences.go
@@ -9,7 +9,6 @@
 	"github.com/harewalk/harewalk/internal/httpio"
 	"github.com/harewalk/harewalk/internal/intake"
 	"github.com/harewalk/harewalk/internal/licences"
-	"github.com/harewalk/harewalk/internal/membership"
 	"github.com/harewalk/harewalk/internal/store"
 )
 
@@ -67,23 +66,7 @@
 }
 
 // licenceCall answers an operator's request about pools: all of them, one, or a new count.
-func (c *Controller) licenceCall(now time.Duration, q intake.OperatorCall, reply func(intake.Reply)) {
-	if c.mem.State() != membership.Leading || c.fleet == nil {
-		l := c.mem.Leader()
-		if l.Node == "" {
-			reply(intake.Refuse(503, "no controller leads"))
-			return
-		}
-		reply(intake.Reply{Status: 421, Body: struct {
-			Error  string `json:"error"`
-			Leader string `json:"leader"`
-		}{"the seats are counted by the leader", l.Public}})
-		return
-	}
-	if !c.mem.Authority(now) || !c.fleet.Loaded() {
-		reply(intake.Refuse(503, "the leader may not act now"))
-		return
-	}
+func (c *Controller) licenceCall(now time.Duration, q intake.Call, reply func(intake.Reply)) {
 	show := func(ix int32) licences.View { return c.fleet.Gate.Seats.Show(now, ix, c.book.Door.Teams.Name) }
 	if q.Name == "" {
 		all := []licences.View{}
@@ -97,7 +80,7 @@
 	switch {
 	case !ok:
 		reply(intake.Refuse(404, fmt.Sprintf("no licence pool %q is declared", q.Name)))
-	case q.Body == nil:
+	case q.Verb == "show":
 		reply(intake.Reply{Status: 200, Body: show(ix)})
 	default:
 		c.setCount(now, ix, q.Body, func() licences.View { return show(ix) }, reply)
--- /dev/null
+++ b/internal/controller/sessions.go
@@ -0,0 +1,100 @@
+package controller
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/intake"
+	"github.com/harewalk/harewalk/internal/sessions"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+// newSessions starts the sessions of a term, nil where they are off.
+func (c *Controller) newSessions(term uint64) *sessions.Manager {
+	p := c.s.Sessions()
+	if !p.On {
+		return nil
+	}
+	return sessions.New(sessions.Env{
+		Policies: p, Book: c.book, Learned: c.learned, Read: c.read, Now: c.loop.Now,
+		Wall:   func(now time.Duration) time.Time { return time.UnixMilli(c.book.WallMS(now)) },
+		Commit: func(t store.Txn, done func(store.Result)) { c.commit(t, store.Ordinary, done) },
+		Task:   c.fleet.SessionTask, Park: c.fleet.Park, Wanted: c.fleet.Wanted,
+	}, term)
+}
+
+// sessionCall answers a user, an operator or an agent about sessions.
+func (c *Controller) sessionCall(now time.Duration, q intake.Call, reply func(intake.Reply)) {
+	answer := func(a sessions.Answer) {
+		switch {
+		case a.Status < 300:
+			reply(intake.Reply{Status: a.Status, Body: a.View})
+		default:
+			reply(intake.Refuse(a.Status, a.Why))
+		}
+	}
+	m := c.sess
+	switch q.Verb {
+	case "open":
+		r, err := sessions.ParseOpening(q.Body)
+		if err != nil {
+			reply(intake.Refuse(400, err.Error()))
+			return
+		}
+		if v := c.admit(r.Spec); !v.OK {
+			status := 422
+			if !v.Known {
+				status = 503
+			}
+			reply(intake.Refuse(status, v.Why))
+			return
+		}
+		m.Open(now, r, answer)
+	case "attach":
+		m.Attach(now, q.Name, q.Bearer, answer)
+	case "keep":
+		var b struct {
+			Attachment uint64 `json:"attachment"`
+		}
+		if json.Unmarshal(q.Body, &b) != nil {
+			reply(intake.Refuse(400, "attachment must be there"))
+			return
+		}
+		answer(m.Keep(now, q.Name, q.Bearer, b.Attachment))
+	case "close":
+		m.Close(now, q.Name, q.Bearer, answer)
+	case "report":
+		r, err := sessions.ParseReport(q.Body)
+		if err != nil {
+			reply(intake.Refuse(400, err.Error()))
+			return
+		}
+		o, ok, why := m.Report(now, q.Name, q.Bearer, r)
+		if !ok {
+			reply(intake.Refuse(409, why))
+			return
+		}
+		reply(intake.Reply{Status: 200, Body: o})
+	case "explain":
+		lines, ok := m.Explain(now, q.Name)
+		if !ok {
+			reply(intake.Refuse(404, "no such session"))
+			return
+		}
+		reply(intake.Reply{Status: 200, Body: struct {
+			ID  string   `json:"name_id"`
+			Why []string `json:"why"`
+		}{q.Name, lines}})
+	default:
+		if q.Name == "" {
+			reply(intake.Reply{Status: 200, Body: m.List(now, q.Query["user"], q.Query["team"])})
+			return
+		}
+		v, ok := m.Show(now, q.Name)
+		if !ok {
+			reply(intake.Refuse(404, "no such session"))
+			return
+		}
+		reply(intake.Reply{Status: 200, Body: v})
+	}
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -72,6 +72,9 @@
 	f.perGPU = planner.Size{}
 	clear(f.ordinary)
 	for _, j := range f.order {
+		if j.Parked {
+			continue
+		}
 		if !j.Spec.Spot {
 			for ix := range f.kinds {
 				if t := f.Types(ix); t != nil && j.Allows(ix, j.Zone, false) && j.Spec.Size().Fits(t.Size) {
@@ -734,7 +737,7 @@
 	f.share()
 	f.Steps += uint64(len(f.machines) + 2*len(f.order))
 	for _, j := range f.order {
-		if j.DoneN == j.N {
+		if j.DoneN == j.N || j.Parked {
 			continue
 		}
 		switch j.Spec.Kind {
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -198,7 +198,7 @@
 		k.Attempt = e.Attempt
 		j.Attempt = max(j.Attempt, e.Attempt)
 		j.Started = true
-		if j.Stance.Terminal() {
+		if j.Stance.Terminal() || j.Parked {
 			f.halt(j, t)
 		}
 	}
--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -21,8 +21,8 @@
 	Intake           *Intake
 	Up               func() bool
 	Report           func(now time.Duration, r *fleet.Report, reply func(Reply))
-	// Operator answers operators' requests; nil: there are none.
-	Operator *Operator
+	// Leader answers what only the leader can; nil: there is nothing of the kind.
+	Leader *Leader
 	// MaxConns bounds open connections.
 	MaxConns int
 }
@@ -85,8 +85,8 @@
 		}
 		return r.ask(c, r.PostReport, workerWait, func(reply func(Reply)) { r.Report(r.Now(), rep, reply) })
 	})
-	if r.Operator != nil {
-		r.operators(app)
+	if r.Leader != nil {
+		r.leader(app)
 	}
 	return app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 }
--- a/internal/intake/operator.go
+++ b/internal/intake/operator.go
@@ -9,48 +9,79 @@
 	"github.com/gofiber/fiber/v3"
 )
 
-// OperatorCall is an operator's request, once it is allowed.
-type OperatorCall struct {
-	Name string // of what it is about; "": all
-	Body []byte // of a command; nil: a question
+// Call is a request that only the leader can answer: about licences, or about sessions.
+type Call struct {
+	What   string // "licences" or "sessions"
+	Name   string // of the one it is about; "": all
+	Verb   string // what is asked: "show", or the last part of the path
+	Body   []byte // of a command
+	Bearer string // the token that came with it
+	Query  map[string]string
 }
 
-// Operator answers operators. Questions are free; commands carry the operators' token or, where
-// none is set, come from the controller's own machine.
-type Operator struct {
-	Token    string // "": none set
-	Licences func(now time.Duration, q OperatorCall, reply func(Reply))
+// Leader answers Calls. Commands about licences carry the operators' token or, where none is set,
+// come from the controller's own machine; each session has tokens of its own.
+type Leader struct {
+	Token  string // the operators', "": none set
+	Answer func(now time.Duration, c Call, reply func(Reply))
+	// Licences and Sessions tell which routes there are.
+	Licences, Sessions bool
 }
 
-// may tells whether a command is allowed, and else why not. The comparison takes the same time
-// whatever was sent.
-func (o *Operator) may(authorization, from string) (bool, string) {
-	if o.Token == "" {
+// may tells whether an operator's command is allowed, and else why not. The comparison takes
+// the same time whatever was sent.
+func (l *Leader) may(bearer, from string) (bool, string) {
+	if l.Token == "" {
 		if ip := net.ParseIP(from); ip != nil && ip.IsLoopback() {
 			return true, ""
 		}
 		return false, "commands are taken from the controller's own machine only, since no operator_token_file is set"
 	}
-	given, ok := strings.CutPrefix(authorization, "Bearer ")
-	if !ok || subtle.ConstantTimeCompare([]byte(given), []byte(o.Token)) != 1 {
+	if subtle.ConstantTimeCompare([]byte(bearer), []byte(l.Token)) != 1 {
 		return false, "the operators' token is missing or wrong"
 	}
 	return true, ""
 }
 
-// operators adds their routes.
-func (r Routes) operators(app *fiber.App) {
-	o := r.Operator
-	ask := func(c fiber.Ctx, q OperatorCall) error {
-		return r.ask(c, r.Post, userWait, func(reply func(Reply)) { o.Licences(r.Now(), q, reply) })
+func bearer(c fiber.Ctx) string {
+	token, ok := strings.CutPrefix(c.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
 	}
-	name := func(c fiber.Ctx) string { return strings.Clone(c.Params("name")) }
-	app.Get("/v2/licences", func(c fiber.Ctx) error { return ask(c, OperatorCall{}) })
-	app.Get("/v2/licences/:name", func(c fiber.Ctx) error { return ask(c, OperatorCall{Name: name(c)}) })
-	app.Post("/v2/licences/:name", func(c fiber.Ctx) error {
-		if ok, why := o.may(c.Get("Authorization"), c.IP()); !ok {
-			return send(c, refuse(403, why))
+	return strings.Clone(token)
+}
+
+// leader adds the routes that are on.
+func (r Routes) leader(app *fiber.App) {
+	l := r.Leader
+	ask := func(c fiber.Ctx, what, verb string) error {
+		q := Call{What: what, Name: strings.Clone(c.Params("name")), Verb: verb, Bearer: bearer(c),
+			Query: map[string]string{"user": strings.Clone(c.Query("user")), "team": strings.Clone(c.Query("team"))}}
+		if c.Method() == fiber.MethodPost {
+			q.Body = append([]byte{}, c.Body()...)
 		}
-		return ask(c, OperatorCall{Name: name(c), Body: append([]byte{}, c.Body()...)})
-	})
+		return r.ask(c, r.Post, userWait, func(reply func(Reply)) { l.Answer(r.Now(), q, reply) })
+	}
+	on := func(what, verb string) fiber.Handler {
+		return func(c fiber.Ctx) error { return ask(c, what, verb) }
+	}
+	if l.Licences {
+		app.Get("/v2/licences", on("licences", "show"))
+		app.Get("/v2/licences/:name", on("licences", "show"))
+		app.Post("/v2/licences/:name", func(c fiber.Ctx) error {
+			if ok, why := l.may(bearer(c), c.IP()); !ok {
+				return send(c, refuse(403, why))
+			}
+			return ask(c, "licences", "set")
+		})
+	}
+	if l.Sessions {
+		app.Get("/v2/sessions", on("sessions", "show"))
+		app.Post("/v2/sessions", on("sessions", "open"))
+		app.Get("/v2/sessions/:name", on("sessions", "show"))
+		app.Get("/v2/sessions/:name/explain", on("sessions", "explain"))
+		for _, verb := range []string{"attach", "keep", "close", "report"} {
+			app.Post("/v2/sessions/:name/"+verb, on("sessions", verb))
+		}
+	}
 }
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -54,6 +54,9 @@
 	// GangDone tells that a task of the gang is done, and so all are.
 	GangDone bool
 
+	// Parked keeps its tasks off machines: a session that was reclaimed.
+	Parked bool
+
 	Closing bool // the terminal record is being written
 	Started bool // some task was launched at least once
 }
@@ -227,6 +230,7 @@
 func (b *Book) Recall() {
 	for _, j := range b.jobs {
 		j.Runs = 0
+		j.Parked = false
 		j.Tasks, j.Chunks, j.Closing, j.Started, j.GangDone, j.Attempt = nil, nil, false, false, false, 0
 		clear(j.ZoneUse)
 		clear(j.Avoid)
--- /dev/null
+++ b/internal/sessions/session.go
@@ -0,0 +1,260 @@
+// Package sessions keeps interactive sessions: jobs of one task that a user opens, attaches to
+// and leaves, and that are reclaimed after real idleness, with a warning first and the work
+// saved. It owns what is known of each session's activity and decides when one is warned,
+// saved and reclaimed. It never places or stops a task itself: it asks the fleet to park a job, once
+// its work is durable and its agent has frozen it, and to resume it.
+//
+// A Manager lives for one term of one leader, on its event loop, and does no I/O.
+package sessions
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+)
+
+// State is where a session stands.
+type State uint8
+
+// The states of a session.
+//
+//	Opening   -> Active     its agent was heard
+//	Active    -> Quiet      the policy calls it idle
+//	Quiet     -> Active     it is not idle any more, or its user returned
+//	Quiet     -> Warned     its idle limit is over, or somebody waits for what it holds
+//	Warned    -> Active     as from Quiet
+//	Warned    -> Quiet      nobody waits any more, or its agent fell silent: doubt never reclaims
+//	Warned    -> Saving     the time of the warning is over: its agent is told to save and freeze
+//	Saving    -> Active     its user returned, or its agent reports that it is not idle
+//	Saving    -> Quiet      the save failed, or took too long: tried again later
+//	Saving    -> Reclaimed  all work is saved and frozen, and that is durable: its job is parked
+//	Reclaimed -> Opening    its user returned: it resumes from what was saved
+//	Lost      -> Active     as from Opening
+//	Active, Quiet, Warned, Saving -> Lost  its task is surely gone, without our doing; it starts
+//	                        again elsewhere from its last save
+//	any       -> Closed     its user closed it, or its job ended
+const (
+	Opening State = iota
+	Active
+	Quiet
+	Warned
+	Saving
+	Reclaimed
+	Closed
+	Lost
+)
+
+var stateNames = [...]string{"opening", "active", "quiet", "warned", "saving", "reclaimed", "closed", "lost"}
+
+func (s State) String() string { return stateNames[s] }
+
+// moves lists the changes of state that can be meant; anything else is a defect.
+var moves = [...][]State{
+	Opening:   {Active, Closed},
+	Active:    {Quiet, Lost, Closed},
+	Quiet:     {Active, Warned, Lost, Closed},
+	Warned:    {Active, Quiet, Saving, Lost, Closed},
+	Saving:    {Active, Quiet, Reclaimed, Lost, Closed},
+	Reclaimed: {Opening, Closed},
+	Lost:      {Active, Closed},
+	Closed:    {},
+}
+
+// Prefix is where records of sessions stand; only a leader reads them.
+const Prefix = "s/"
+
+// Key is where a session's record stands.
+func Key(id string) string { return Prefix + id }
+
+// Record is what of a session is durable: whose it is, and, where losing it would lose work,
+// that it was reclaimed and what was saved.
+type Record struct {
+	User      string `json:"user"`
+	Team      string `json:"team"`
+	Token     string `json:"token"` // SHA-256 of the user's token, in hex
+	Agent     string `json:"agent"` // SHA-256 of the agent's token, in hex
+	OpenedMS  int64  `json:"opened_ms"`
+	Reclaimed bool   `json:"reclaimed,omitempty"`
+	AtMS      int64  `json:"at_ms,omitempty"` // when it was reclaimed
+	Saved     *Saved `json:"saved,omitempty"`
+}
+
+// Saved names what an agent has saved.
+type Saved struct {
+	Ref  string  `json:"ref"` // what the agent calls it, to resume from
+	MB   float64 `json:"mb,omitempty"`
+	AtMS int64   `json:"at_ms"`
+}
+
+// Digest is what is stored of a token.
+func Digest(token string) string {
+	d := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(d[:])
+}
+
+// opens tells whether a token belongs to a digest, in the same time whatever is given.
+func opens(token, digest string) bool {
+	return subtle.ConstantTimeCompare([]byte(Digest(token)), []byte(digest)) == 1
+}
+
+// validDigest tells whether a digest has the form of one.
+func validDigest(s string) bool {
+	raw, err := hex.DecodeString(s)
+	return err == nil && len(raw) == sha256.Size
+}
+
+// session is one session as its leader knows it.
+type session struct {
+	id      string
+	rec     Record
+	version uint64
+	state   State
+	since   time.Duration // of state
+	place   int           // in the queue of what is due, -1: not in it
+	due     time.Duration
+
+	// What its agent last said. Ages were turned into moments on our clock when they came, so
+	// that no clock but ours counts.
+	attempt  uint64 // of the task the agent belongs to; 0: none was heard
+	seq      uint64
+	heard    time.Duration
+	input    time.Duration // last input
+	cellFrom time.Duration // a cell has been running since then; 0: none runs
+	cpu, gpu float64
+	unsaved  float64
+
+	attached   time.Duration // last attach or keep-alive; 0: never in this term
+	kept       time.Duration // last keep-alive taken
+	attachment uint64        // the newest attach
+	returned   time.Duration // when that was
+
+	reason   string        // why it is being reclaimed
+	wanted   bool          // because somebody waits, not because its limit is over
+	order    uint64        // of the save under way
+	resumes  bool          // it starts again from its last save
+	failures int           // saves that failed in a row
+	notNow   time.Duration // no warning before, after a failed save
+	writing  bool          // a write of its record is under way
+	waiting  []func()      // to go on once it is over
+}
+
+// to is the only place where a session's state changes.
+func (s *session) to(now time.Duration, to State, cause string) {
+	if s.state == to {
+		return
+	}
+	if !slices.Contains(moves[s.state], to) {
+		slog.Error("state machine", "session", s.id, "from", s.state.String(), "to", to.String(), "cause", cause)
+	}
+	level := slog.LevelDebug
+	if to == Warned || to == Saving || to == Reclaimed || to == Lost {
+		level = slog.LevelInfo
+	}
+	slog.Log(context.Background(), level, "session", "id", s.id, "from", s.state.String(), "to", to.String(), "cause", cause)
+	s.state, s.since = to, now
+	if to != Saving {
+		s.order = 0
+	}
+	if to != Warned && to != Saving {
+		s.reason, s.wanted = "", false
+	}
+}
+
+// activity is what the policy sees at a moment.
+func (s *session) activity(now time.Duration, wall time.Time) Activity {
+	a := Activity{InputS: (now - s.input).Seconds(), CPU: s.cpu, GPU: s.gpu, UnsavedMB: s.unsaved, Team: s.rec.Team, User: s.rec.User,
+		OpenS: max(0, wall.Sub(time.UnixMilli(s.rec.OpenedMS)).Seconds())}
+	a.AttachedS = a.InputS
+	if s.attached > 0 {
+		a.AttachedS = min(a.InputS, (now - s.attached).Seconds())
+	}
+	if s.cellFrom > 0 {
+		a.Cell, a.CellS = true, (now - s.cellFrom).Seconds()
+	}
+	return a
+}
+
+// Report is what a session's agent says, as docs/sessions.md publishes it. Times are ages in
+// seconds: no clock of the agent's counts.
+type Report struct {
+	Attempt uint64  `json:"attempt"` // of the task, as its worker was told
+	Seq     uint64  `json:"seq"`     // increases with every report of an attempt
+	InputS  float64 `json:"input_s"`
+	Cell    bool    `json:"cell"`
+	CellS   float64 `json:"cell_s"`
+	CPU     float64 `json:"cpu"`
+	GPU     float64 `json:"gpu"`
+	Unsaved float64 `json:"unsaved_mb"`
+	Frozen  bool    `json:"frozen"` // it takes no input until it is told to go on
+	Save    *Save   `json:"save"`   // the outcome of an ordered save, repeated while frozen
+}
+
+// Save is the outcome of an ordered save.
+type Save struct {
+	Order uint64  `json:"order"`
+	OK    bool    `json:"ok"`
+	Why   string  `json:"why,omitempty"`
+	Ref   string  `json:"ref,omitempty"`
+	MB    float64 `json:"mb,omitempty"`
+}
+
+// Order is the answer to an agent's report.
+type Order struct {
+	State string `json:"state"`
+	// ReclaimS is in how many seconds a warned session is saved and reclaimed; Why says why.
+	ReclaimS *float64 `json:"reclaim_in_s,omitempty"`
+	Why      string   `json:"why,omitempty"`
+	// Save tells the agent to save all work and freeze, and to say so with this number.
+	Save uint64 `json:"save,omitempty"`
+	// Thaw tells a frozen agent to go on.
+	Thaw bool `json:"thaw,omitempty"`
+	// Resume names what to resume from; it is told until the agent was heard once.
+	Resume string `json:"resume,omitempty"`
+	// ReportS is when to report next, at the latest.
+	ReportS float64 `json:"report_s"`
+}
+
+// maxAge bounds the ages in a report, in seconds.
+const maxAge = 1e8
+
+// ParseReport reads an agent's report and refuses what no agent would send.
+func ParseReport(raw []byte) (Report, error) {
+	var r Report
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return r, fmt.Errorf("not a report: %w", err)
+	}
+	for name, v := range map[string]float64{"input_s": r.InputS, "cell_s": r.CellS, "cpu": r.CPU, "gpu": r.GPU, "unsaved_mb": r.Unsaved} {
+		if !(v >= 0 && v <= maxAge) {
+			return r, fmt.Errorf("%s is out of range", name)
+		}
+	}
+	if r.Attempt == 0 || r.Seq == 0 {
+		return r, fmt.Errorf("attempt and seq must be there")
+	}
+	if r.Save != nil && len(r.Save.Ref)+len(r.Save.Why) > 1000 {
+		return r, fmt.Errorf("save is too long")
+	}
+	return r, nil
+}
+
+// View is what users and operators are shown of a session.
+type View struct {
+	ID         string  `json:"name_id"`
+	User       string  `json:"user"`
+	Team       string  `json:"team"`
+	State      string  `json:"stance"`
+	ForS       float64 `json:"for_s"` // in this state
+	IdleS      float64 `json:"idle_s"`
+	Cell       bool    `json:"cell,omitempty"`
+	UnsavedMB  float64 `json:"unsaved_mb,omitempty"`
+	Saved      *Saved  `json:"saved,omitempty"`
+	Attachment uint64  `json:"attachment,omitempty"`
+	ReclaimS   float64 `json:"reclaim_in_s,omitempty"`
+	Why        string  `json:"why,omitempty"`
+}
--- /dev/null
+++ b/internal/sessions/users.go
@@ -0,0 +1,333 @@
+package sessions
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+// notYours is said alike of sessions that don't exist and of other people's: nobody learns
+// from it which ids there are.
+const notYours = "no such session, or the token is not its own"
+
+// Request is a user's request for a session.
+type Request struct {
+	Spec  *jobs.Spec
+	User  string
+	Token string // SHA-256 of the user's token, in hex
+	Agent string // SHA-256 of the agent's token, in hex
+}
+
+// Answer is what a user is told.
+type Answer struct {
+	Status int // as in HTTP
+	View   View
+	Why    string
+	Retry  bool // it may be otherwise soon
+}
+
+func no(status int, format string, a ...any) Answer {
+	return Answer{Status: status, Why: fmt.Sprintf(format, a...), Retry: status == 429 || status == 503}
+}
+
+// ParseOpening reads a request for a session: a job of one replica, and whose it is.
+func ParseOpening(body []byte) (*Request, error) {
+	spec, err := jobs.ParseSpec(body)
+	if err != nil {
+		return nil, err
+	}
+	var who struct {
+		User  string `json:"user"`
+		Token string `json:"token_sha256"`
+		Agent string `json:"agent_sha256"`
+	}
+	if err := json.Unmarshal(body, &who); err != nil {
+		return nil, fmt.Errorf("%w: %v", jobs.ErrMalformed, err)
+	}
+	switch {
+	case spec.Kind != jobs.Service || spec.Tasks != 1:
+		err = fmt.Errorf("%w: a session is a job of kind %q with one task", jobs.ErrMalformed, jobs.Service)
+	case who.User == "" || len(who.User) > 100:
+		err = fmt.Errorf("%w: user must have 1 to 100 characters", jobs.ErrMalformed)
+	case !validDigest(who.Token) || !validDigest(who.Agent) || who.Token == who.Agent:
+		err = fmt.Errorf("%w: token_sha256 and agent_sha256 must be two different SHA-256 digests in hex", jobs.ErrMalformed)
+	}
+	return &Request{spec, who.User, strings.ToLower(who.Token), strings.ToLower(who.Agent)}, err
+}
+
+// Open opens a session; opening it again with the same token shows it.
+func (m *Manager) Open(now time.Duration, q *Request, reply func(Answer)) {
+	id, team := q.Spec.ID, q.Spec.Team
+	if s := m.byID[id]; s != nil {
+		if s.rec.Token != q.Token || s.rec.User != q.User {
+			reply(no(409, "the id %s is taken", id))
+			return
+		}
+		reply(Answer{Status: 200, View: m.view(now, s)})
+		return
+	}
+	if m.Book.Get(id) != nil {
+		reply(no(409, "the id %s is taken by a job", id))
+		return
+	}
+	p := m.Policies
+	if n := m.users[q.User] + m.opens["u/"+q.User]; p.PerUser > 0 && n >= p.PerUser {
+		reply(no(409, "user %s has %d sessions, and may have %d: close one first", q.User, n, p.PerUser))
+		return
+	}
+	if n := m.teams[team] + m.opens["t/"+team]; p.PerTeam > 0 && n >= p.PerTeam {
+		reply(no(409, "team %s has %d sessions that are not reclaimed, and may have %d", team, n, p.PerTeam))
+		return
+	}
+	rec := Record{User: q.User, Team: team, Token: q.Token, Agent: q.Agent, OpenedMS: m.Wall(now).UnixMilli()}
+	raw, _ := json.Marshal(rec)
+	job := jobs.EncodeRecord(jobs.Pending, m.Book.WallMS(now), 1, q.Spec)
+	key := jobs.RecordKey(id)
+	m.opens["u/"+q.User]++
+	m.opens["t/"+team]++
+	m.Commit(store.Txn{If: []store.Cond{{Key: key}, {Key: Key(id)}}, Then: []store.Op{{Put: key, Value: job}, {Put: Key(id), Value: raw}}}, func(r store.Result) {
+		at := m.Now()
+		for _, k := range []string{"u/" + q.User, "t/" + team} {
+			if m.opens[k]--; m.opens[k] == 0 {
+				delete(m.opens, k)
+			}
+		}
+		switch r.Outcome {
+		case store.Committed:
+			s := m.add(at, id, rec, r.Revision)
+			m.Learned(at, store.Item{Key: key, Value: job, Version: r.Revision})
+			reply(Answer{Status: 201, View: m.view(at, s)})
+		case store.Conflict, store.Unknown:
+			m.reopen(q, reply)
+		default:
+			reply(no(503, "the state service did not take the session"))
+		}
+	})
+}
+
+// reopen answers from what stands, after a write that may have been carried out.
+func (m *Manager) reopen(q *Request, reply func(Answer)) {
+	m.Read(Key(q.Spec.ID), func(it store.Item, err error) {
+		var r Record
+		switch {
+		case err != nil || it.Version == 0:
+			reply(no(503, "the session was not stored"))
+		case json.Unmarshal(it.Value, &r) != nil || r.Token != q.Token || r.User != q.User:
+			reply(no(409, "the id %s is taken", q.Spec.ID))
+		default:
+			if m.byID[q.Spec.ID] == nil {
+				m.add(m.Now(), q.Spec.ID, r, it.Version)
+			}
+			reply(Answer{Status: 200, View: m.view(m.Now(), m.byID[q.Spec.ID])})
+		}
+	})
+}
+
+// mine finds a session by its user's token.
+func (m *Manager) mine(id, token string) *session {
+	if s := m.byID[id]; s != nil && opens(token, s.rec.Token) {
+		return s
+	}
+	return nil
+}
+
+// Attach is a user's return. It takes a warning back and stops a save; a reclaimed session
+// begins to resume. Of two attaches the later is the one that keeps the session alive.
+func (m *Manager) Attach(now time.Duration, id, token string, reply func(Answer)) {
+	s := m.mine(id, token)
+	if s == nil {
+		reply(no(403, notYours))
+		return
+	}
+	s.after(func() { m.attach(m.Now(), s, reply) })
+}
+
+func (m *Manager) attach(now time.Duration, s *session, reply func(Answer)) {
+	j := m.Book.Get(s.id)
+	if s.state == Closed || j == nil || j.Stance.Terminal() {
+		reply(no(410, "the session is closed"))
+		return
+	}
+	m.orders++
+	s.attachment = m.term<<numberBits | m.orders
+	s.attached, s.returned = max(now, 1), now
+	if s.state != Reclaimed {
+		s.input = now
+		if s.state == Quiet || s.state == Warned || s.state == Saving {
+			s.to(now, Active, "its user returned")
+		}
+		reply(Answer{Status: 200, View: m.view(now, s)})
+		return
+	}
+	if n := m.teams[s.rec.Team]; m.Policies.PerTeam > 0 && n >= m.Policies.PerTeam {
+		reply(no(409, "team %s has %d sessions that are not reclaimed, and may have %d", s.rec.Team, n, m.Policies.PerTeam))
+		return
+	}
+	rec := s.rec
+	rec.Reclaimed, rec.AtMS = false, 0
+	m.write(s, rec, func(at time.Duration, ok bool) {
+		if !ok {
+			reply(no(503, "the state service did not take it"))
+			return
+		}
+		s.to(at, Opening, "its user returned")
+		m.teams[s.rec.Team]++
+		s.resumes, s.input, s.heard = true, at, at
+		m.Park(at, j, false)
+		reply(Answer{Status: 200, View: m.view(at, s)})
+	})
+}
+
+// Keep is an attached client's sign of life. It counts as little as the policy says, and no
+// more often than once a second.
+func (m *Manager) Keep(now time.Duration, id, token string, attachment uint64) Answer {
+	s := m.mine(id, token)
+	switch {
+	case s == nil:
+		return no(403, notYours)
+	case attachment < s.attachment:
+		return no(409, "attached elsewhere since")
+	case s.kept > 0 && now-s.kept < keepEvery:
+		return no(429, "kept alive less than a second ago")
+	}
+	s.kept, s.attached = max(now, 1), max(now, 1)
+	return Answer{Status: 200, View: m.view(now, s)}
+}
+
+// Close ends a session and its job; the answer is given once that is durable.
+func (m *Manager) Close(now time.Duration, id, token string, reply func(Answer)) {
+	s := m.mine(id, token)
+	if s == nil {
+		reply(no(403, notYours))
+		return
+	}
+	s.after(func() { m.end(m.Now(), s, reply) })
+}
+
+// end cancels a session's job and drops its record, in one transaction.
+func (m *Manager) end(now time.Duration, s *session, reply func(Answer)) {
+	if reply == nil {
+		reply = func(Answer) {}
+	}
+	j := m.Book.Get(s.id)
+	if s.state == Closed || j == nil || j.Stance.Terminal() {
+		if s.state != Closed && !s.writing {
+			m.forget(now, s)
+		}
+		reply(Answer{Status: 200, View: View{ID: s.id, User: s.rec.User, Team: s.rec.Team, State: Closed.String()}})
+		return
+	}
+	key := jobs.RecordKey(s.id)
+	raw := jobs.EncodeRecord(jobs.Cancelled, m.Book.WallMS(j.At), j.N, j.Spec)
+	s.writing = true
+	m.Commit(store.Txn{If: []store.Cond{{Key: key, Version: j.Version}}, Then: []store.Op{{Put: key, Value: raw}, {Delete: Key(s.id)}}}, func(r store.Result) {
+		at := m.Now()
+		s.writing = false
+		if r.Outcome != store.Committed {
+			m.queue.at(s, at+time.Second)
+			reply(no(503, "it is not known whether the session was closed"))
+		} else {
+			m.Learned(at, store.Item{Key: key, Value: raw, Version: r.Revision})
+			m.remove(at, s)
+			reply(Answer{Status: 200, View: View{ID: s.id, User: s.rec.User, Team: s.rec.Team, State: Closed.String()}})
+		}
+		waiting := s.waiting
+		s.waiting = nil
+		for _, f := range waiting {
+			f()
+		}
+	})
+}
+
+// List shows the sessions of a user or a team, or all; by id.
+func (m *Manager) List(now time.Duration, user, team string) []View {
+	out := []View{}
+	for _, s := range m.byID {
+		if (user == "" || s.rec.User == user) && (team == "" || s.rec.Team == team) {
+			out = append(out, m.view(now, s))
+		}
+	}
+	slices.SortFunc(out, func(a, b View) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Show shows one session.
+func (m *Manager) Show(now time.Duration, id string) (View, bool) {
+	s := m.byID[id]
+	if s == nil {
+		return View{}, false
+	}
+	return m.view(now, s), true
+}
+
+func (m *Manager) view(now time.Duration, s *session) View {
+	v := View{ID: s.id, User: s.rec.User, Team: s.rec.Team, State: s.state.String(), ForS: (now - s.since).Seconds(),
+		Cell: s.cellFrom > 0, UnsavedMB: s.unsaved, Saved: s.rec.Saved, Attachment: s.attachment, Why: s.reason}
+	if s.state == Quiet || s.state == Warned || s.state == Saving {
+		v.IdleS = (now - s.input).Seconds()
+	}
+	if s.state == Warned {
+		v.ReclaimS = max(0, (s.since + m.Policies.Warn - now).Seconds())
+	}
+	return v
+}
+
+// Explain says in plain words why a session is or isn't to be reclaimed, and when.
+func (m *Manager) Explain(now time.Duration, id string) ([]string, bool) {
+	s := m.byID[id]
+	if s == nil {
+		return nil, false
+	}
+	wall := m.Wall(now)
+	p := m.Policies.Of(s.rec.Team)
+	l := p.At(wall)
+	a := s.activity(now, wall)
+	for_ := func(d time.Duration) string { return d.Round(time.Second).String() }
+	at := func(t time.Duration) string {
+		return fmt.Sprintf("in %s, at %s", for_(max(0, t-now)), wall.Add(t-now).UTC().Format("15:04:05 MST"))
+	}
+	out := []string{fmt.Sprintf("It has been %s for %s; policy %q: idle = %s.", s.state, for_(now-s.since), l.Name, l.Rule.text)}
+	say := func(format string, a ...any) { out = append(out, fmt.Sprintf(format, a...)) }
+	silent := now-s.heard > m.Policies.Silent
+	switch s.state {
+	case Opening, Lost:
+		say("Its agent has not been heard since it started, so nothing is decided about it.")
+	case Reclaimed:
+		say("It was reclaimed; what was saved (%s) is resumed when its user attaches.", s.rec.Saved.Ref)
+	case Active:
+		for _, w := range l.Rule.Against(a) {
+			say("It is not idle: %s.", w)
+		}
+	case Quiet:
+		if now < s.notNow {
+			say("Its last save failed (%d in a row): no warning before another try %s.", s.failures, at(s.notNow))
+		}
+		switch {
+		case l.Limit == 0:
+			say("Its policy sets no limit to idleness.")
+		default:
+			say("It will be warned at the latest %s, when it has been idle for %s.", at(max(s.since+l.Limit, s.notNow)), for_(l.Limit))
+		}
+		switch {
+		case l.Wanted < 0:
+			say("It is not reclaimed for others who wait.")
+		case now-s.since < l.Wanted:
+			say("From %s on it is warned as soon as somebody waits for what it holds.", strings.TrimPrefix(at(s.since+l.Wanted), "in "))
+		default:
+			say("It is warned as soon as somebody waits for what it holds; nobody does.")
+		}
+	case Warned:
+		say("It was warned, since %s; its work is saved and it is reclaimed %s, unless it is used before.", s.reason, at(s.since+m.Policies.Warn))
+	case Saving:
+		say("Its work is being saved, since %s; if that takes until %s, it is not reclaimed.", s.reason, strings.TrimPrefix(at(s.since+m.Policies.Save), "in "))
+	}
+	if silent && s.state != Reclaimed && s.state != Opening && s.state != Lost {
+		say("Its agent has not been heard for %s: it is not reclaimed on doubt.", for_(now-s.heard))
+	}
+	return out, true
+}
