--- a/cmd/harewalk/main.go
+++ b/cmd/harewalk/main.go
@@ -60,7 +60,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(serveCmd(), checkCmd(), jobCmd(), licenceCmd(), &cobra.Command{
+	cmd.AddCommand(serveCmd(), checkCmd(), jobCmd(), licenceCmd(), sessionCmd(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "harewalk", version) },
 	})
--- a/cmd/harewalk/operator.go
+++ b/cmd/harewalk/operator.go
@@ -19,6 +19,7 @@
 // operator is how operators' commands reach a cluster.
 type operator struct {
 	server, tokenFile, output string
+	bearer                    string // in place of the operators' token
 }
 
 func (o *operator) flags(c *cobra.Command) {
@@ -29,6 +30,9 @@
 }
 
 func (o *operator) token() (string, error) {
+	if o.bearer != "" {
+		return o.bearer, nil
+	}
 	if o.tokenFile == "" {
 		return "", nil
 	}
@@ -69,7 +73,7 @@
 		}
 		_ = json.Unmarshal(answer, &said)
 		switch {
-		case status == 200:
+		case status == 200 || status == 201:
 			return json.Unmarshal(answer, into)
 		case status == 421 && said.Leader != "":
 			server, last = said.Leader, fmt.Errorf("%s leads and does not answer", said.Leader)
@@ -77,7 +81,7 @@
 			server, last = o.server, fmt.Errorf("%s", said.Error)
 		case status == 400 || status == 404:
 			if said.Error == "" {
-				said.Error = "the cluster has no such thing; are licences declared in its operators' settings?"
+				said.Error = "the cluster has no such thing; is it switched on in its operators' settings?"
 			}
 			return coded{exitUsage, fmt.Errorf("%s", said.Error)}
 		default:
--- a/internal/sessions/manager.go
+++ b/internal/sessions/manager.go
@@ -68,7 +68,8 @@
 	pressing    = time.Second     // and while they are warned or save
 	lookEvery   = 30 * time.Second
 	wantEvery   = time.Second
-	keepEvery   = time.Second // a session's keep-alives are taken
+	keepEvery   = time.Second      // a session's keep-alives are taken
+	ownEvery    = 10 * time.Second // a session's own saves are written, but for its last
 	mostBackoff = time.Hour
 	rereadAfter = 300 * time.Millisecond
 	numberBits  = 20 // for orders and attachments within a term
@@ -103,7 +104,7 @@
 
 // add makes a session that opens.
 func (m *Manager) add(now time.Duration, id string, r Record, version uint64) *session {
-	s := &session{id: id, rec: r, version: version, state: Opening, since: now, input: now, heard: now, place: -1, resumes: r.Saved != nil}
+	s := &session{id: id, rec: r, version: version, state: Opening, since: now, input: now, heard: now, place: -1}
 	m.byID[id] = s
 	m.users[r.User]++
 	m.teams[r.Team]++
@@ -144,7 +145,7 @@
 	case Active, Quiet, Warned, Saving:
 		if t := m.Task(j); s.attempt != 0 && (!t.On || (t.Attempt != 0 && t.Attempt != s.attempt)) {
 			// Proof of the fleet's kind, not silence, says that it is gone.
-			s.attempt, s.resumes = 0, s.rec.Saved != nil
+			s.attempt = 0
 			s.to(now, Lost, "its task is gone")
 			return
 		}
@@ -287,9 +288,15 @@
 	if r.Attempt < s.attempt || (r.Attempt == s.attempt && r.Seq <= s.seq) {
 		return o, false, "a newer report was heard"
 	}
-	if t := m.Task(j); !t.On || t.Ending || (t.Attempt != 0 && t.Attempt != r.Attempt) {
-		// One that is being stopped must not be thawed by a user who comes back meanwhile.
+	switch t := m.Task(j); {
+	case !t.On || (t.Attempt != 0 && t.Attempt != r.Attempt):
 		return o, false, "this attempt is not the one that runs"
+	case t.Ending:
+		// It must not be thawed for a user who comes back meanwhile, but what it saves at its end
+		// counts.
+		s.attempt, s.seq = r.Attempt, r.Seq
+		m.own(now, s, r, true)
+		return Order{State: "ending", Kept: s.kept(), ReportS: 0.2}, true, ""
 	}
 	if r.Attempt != s.attempt && (s.state == Active || s.state == Quiet || s.state == Warned || s.state == Saving) {
 		if s.attempt != 0 {
@@ -311,10 +318,11 @@
 // answer moves a session on by its agent's report.
 func (m *Manager) answer(now time.Duration, s *session, j *jobs.Job, r Report) Order {
 	o := Order{ReportS: reportEvery.Seconds()}
-	if s.resumes {
-		o.Resume = s.rec.Saved.Ref
-		s.resumes = r.Seq < 3 // told twice: an answer may be lost
+	if r.Fresh && r.Resumed != s.kept() {
+		o.Resume = s.kept()
 	}
+	m.own(now, s, r, false)
+	o.Kept = s.kept()
 	if !s.writing {
 		switch {
 		case s.state == Saving && r.Save != nil && r.Save.Order == s.order:
@@ -338,10 +346,23 @@
 	}
 	// While the outcome of a reclaim is open it stays frozen: it is either parked, or thawed by
 	// the next answer.
-	o.Thaw = r.Frozen && !s.writing && s.state != Saving && s.state != Reclaimed
+	o.Thaw = r.Frozen && o.Resume == "" && !s.writing && s.state != Saving && s.state != Reclaimed
 	return o
 }
 
+// own takes over a save of the agent's own: what is kept of it when its machine dies. They are
+// written at most every ten seconds, the last one at once.
+func (m *Manager) own(now time.Duration, s *session, r Report, last bool) {
+	if r.Save == nil || r.Save.Order != 0 || !r.Save.OK || r.Save.Ref == "" || r.Save.Ref == s.kept() || s.writing || r.Fresh ||
+		s.state == Reclaimed || (!last && s.ownAt > 0 && now-s.ownAt < ownEvery) {
+		return
+	}
+	s.ownAt = now
+	rec := s.rec
+	rec.Saved = &Saved{Ref: r.Save.Ref, MB: r.Save.MB, AtMS: m.Wall(now).UnixMilli()}
+	m.write(s, rec, func(time.Duration, bool) {})
+}
+
 // saved takes over the outcome of an ordered save. The session is reclaimed only if all its work
 // is saved and it is frozen, and once that is durable.
 func (m *Manager) saved(now time.Duration, s *session, j *jobs.Job, r Report) {
--- a/internal/sessions/users.go
+++ b/internal/sessions/users.go
@@ -177,7 +177,7 @@
 		}
 		s.to(at, Opening, "its user returned")
 		m.teams[s.rec.Team]++
-		s.resumes, s.input, s.heard = true, at, at
+		s.input, s.heard = at, at
 		m.Park(at, j, false)
 		reply(Answer{Status: 200, View: m.view(at, s)})
 	})
@@ -192,10 +192,10 @@
 		return no(403, notYours)
 	case attachment < s.attachment:
 		return no(409, "attached elsewhere since")
-	case s.kept > 0 && now-s.kept < keepEvery:
+	case s.keptAlive > 0 && now-s.keptAlive < keepEvery:
 		return no(429, "kept alive less than a second ago")
 	}
-	s.kept, s.attached = max(now, 1), max(now, 1)
+	s.keptAlive, s.attached = max(now, 1), max(now, 1)
 	return Answer{Status: 200, View: m.view(now, s)}
 }
 
--- a/internal/world/faults.go
+++ b/internal/world/faults.go
@@ -13,6 +13,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.specs[s.ID] = s
+	w.known[s.ID] = w.now()
 }
 
 // Cancelled notes that a user was told that a job is cancelled.
--- a/internal/world/machine.go
+++ b/internal/world/machine.go
@@ -185,6 +185,9 @@
 
 func (w *World) runs(now time.Duration, k *task) {
 	k.state, k.since = running, now
+	if n := w.notebooks[k.spec.ID]; n != nil {
+		n.begins(now, k)
+	}
 	k.work = max(0.01, (k.spec.EstimateS-w.stat(k).saved)*(0.8+0.4*w.rng.Float64()))
 }
 
@@ -223,8 +226,11 @@
 }
 
 // begin is the moment a task has its image: the rules look here.
-func (w *World) begin(_ time.Duration, m *Machine, k *task) {
+func (w *World) begin(now time.Duration, m *Machine, k *task) {
 	k.counted = true
+	if _, ok := w.waits[k.spec.ID]; !ok {
+		w.waits[k.spec.ID] = now - w.known[k.spec.ID]
+	}
 	w.stats.Starts++
 	var use planner.Size
 	for _, o := range w.machines {
@@ -320,6 +326,9 @@
 			}
 		case "halt":
 			if i >= 0 && m.tasks[i].state != exited {
+				if n := w.notebooks[m.tasks[i].spec.ID]; n != nil && m.tasks[i].state == running {
+					n.halted(now, m)
+				}
 				w.halt(now, m.tasks[i], c)
 			}
 		case "forget":
--- /dev/null
+++ b/internal/world/notebook.go
@@ -0,0 +1,353 @@
+package world
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/sessions"
+)
+
+// Notebook is an interactive session as its user and its agent see it: the stand-in for both.
+// Work is counted in steps; what was saved outlives the machine.
+type Notebook struct {
+	Spec  *jobs.Spec
+	User  string
+	token string // the user's
+	agent string // its agent's
+
+	w     *World
+	saves map[string]int
+
+	// Of the process that runs now.
+	attempt   uint64
+	work      int
+	saved     int
+	cellTill  time.Duration
+	cellFrom  time.Duration
+	input     time.Duration
+	frozen    bool
+	resumed   string
+	fresh     bool
+	own, kept string // saves of its own: the newest, and what the controllers keep
+	save      *sessions.Save
+	saveTill  time.Duration // a save under way is done then
+	failing   bool          // saves fail
+	slow      time.Duration // saves take so long
+	closed    bool
+	notice    *sessions.Order // the newest answer
+	Reclaims  int             // times the session was stopped with its work saved
+	Resumes   int
+}
+
+// Notebook makes a session for a user, as yet unopened.
+func (w *World) Notebook(spec *jobs.Spec, user string) *Notebook {
+	n := &Notebook{Spec: spec, User: user, w: w, token: "user-" + spec.ID, agent: "agent-" + spec.ID, saves: map[string]int{}}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.specs[spec.ID] = spec
+	w.notebooks[spec.ID] = n
+	return n
+}
+
+// begins is when a session's task runs: a new process, frozen until it was told what to resume.
+func (n *Notebook) begins(now time.Duration, k *task) {
+	n.attempt, n.work, n.saved, n.frozen, n.save, n.cellTill, n.input, n.resumed, n.fresh = k.attempt, 0, 0, true, nil, 0, now, "", true
+	n.own, n.kept = "", ""
+	n.w.done.Add(1)
+	go n.talk(k)
+}
+
+// halted is when its worker stops it, outside a close: that must be a reclaim, and a reclaim must
+// not end what runs or lose what was done.
+func (n *Notebook) halted(now time.Duration, m *Machine) {
+	if n.closed {
+		return
+	}
+	if m.noticeAt > 0 {
+		// Its machine is taken: it saves what it can while it is being stopped.
+		if !n.fresh {
+			n.own, n.frozen, n.save = fmt.Sprintf("%s-%d-end", n.Spec.ID, n.attempt), true, nil
+			n.saves[n.own], n.saved = n.work, n.work
+		}
+		return
+	}
+	if now < n.cellTill {
+		n.w.fail("reclaim: %s was stopped while a cell runs", n.Spec.ID)
+	}
+	if n.work != n.saved || !n.frozen {
+		n.w.fail("reclaim: %s was stopped with %d steps, %d saved, frozen %v", n.Spec.ID, n.work, n.saved, n.frozen)
+	}
+	n.Reclaims++
+}
+
+// talk is the agent: it reports until its process is gone.
+func (n *Notebook) talk(k *task) {
+	w := n.w
+	defer w.done.Done()
+	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}
+	defer client.CloseIdleConnections()
+	to := w.Public(0)
+	every := 300 * time.Millisecond
+	for seq := uint64(1); ; seq++ {
+		w.mu.Lock()
+		if k.state == exited || n.attempt != k.attempt || !w.has(k) {
+			w.mu.Unlock()
+			return
+		}
+		r := n.report(w.now(), seq)
+		w.mu.Unlock()
+		raw, _ := json.Marshal(r)
+		status, body := send(client, to, "/v2/sessions/"+n.Spec.ID+"/report", n.agent, raw)
+		switch status {
+		case 200:
+			var o sessions.Order
+			if json.Unmarshal(body, &o) == nil {
+				w.mu.Lock()
+				n.told(w.now(), k, r, o)
+				w.mu.Unlock()
+			}
+		case 421:
+			var l struct {
+				Leader string `json:"leader"`
+			}
+			if json.Unmarshal(body, &l) == nil && l.Leader != "" {
+				to = l.Leader
+			}
+		default:
+			to = w.Public(int(seq) % w.cfg.Controllers)
+		}
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(every):
+		}
+	}
+}
+
+// has tells whether a task is still on a machine that lives.
+func (w *World) has(k *task) bool {
+	for _, m := range w.machines {
+		if m.dead {
+			continue
+		}
+		for _, x := range m.tasks {
+			if x == k {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (n *Notebook) report(now time.Duration, seq uint64) sessions.Report {
+	if n.save != nil && n.saveTill > 0 && now >= n.saveTill {
+		n.saveTill = 0
+		ref := fmt.Sprintf("%s-%d-%d", n.Spec.ID, n.attempt, n.save.Order)
+		if n.failing {
+			n.save.Why = "disk full"
+		} else {
+			n.saves[ref], n.saved = n.work, n.work
+			n.save.OK, n.save.Ref = true, ref
+		}
+	}
+	r := sessions.Report{Attempt: n.attempt, Seq: seq, InputS: (now - n.input).Seconds(), Unsaved: float64(n.work - n.saved), Frozen: n.frozen, Resumed: n.resumed, Fresh: n.fresh}
+	if n.saveTill == 0 && n.save != nil {
+		s := *n.save
+		r.Save = &s
+	}
+	if r.Save == nil && n.own != n.kept && n.own != "" {
+		r.Save = &sessions.Save{OK: true, Ref: n.own}
+	}
+	if now < n.cellTill {
+		r.Cell, r.CellS, r.CPU = true, (now - n.cellFrom).Seconds(), 1
+	}
+	return r
+}
+
+// told takes the answer to a report.
+func (n *Notebook) told(now time.Duration, k *task, r sessions.Report, o sessions.Order) {
+	if k.attempt != n.attempt {
+		return
+	}
+	n.kept = o.Kept
+	if o.Resume != "" && o.Resume != n.resumed {
+		n.work, n.saved, n.resumed = n.saves[o.Resume], n.saves[o.Resume], o.Resume
+		n.Resumes++
+	}
+	if o.Thaw {
+		n.frozen, n.fresh, n.save, n.saveTill = false, false, nil, 0
+	}
+	if o.Save != 0 && (n.save == nil || n.save.Order != o.Save) {
+		n.save = &sessions.Save{Order: o.Save}
+		if now < n.cellTill {
+			n.save.Why = "a cell runs"
+			return
+		}
+		n.frozen, n.saveTill = true, now+max(n.slow, 1)
+	}
+}
+
+// Use is a user's input, one step of work; false if the process is gone or frozen.
+func (n *Notebook) Use() bool {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	if n.frozen || !n.running() {
+		return false
+	}
+	n.input = n.w.now()
+	n.work++
+	return true
+}
+
+func (n *Notebook) running() bool {
+	for _, m := range n.w.machines {
+		for _, k := range m.tasks {
+			if !m.dead && k.spec == n.Spec && k.attempt == n.attempt && k.state == running {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Cell runs a cell for a time.
+func (n *Notebook) Cell(d time.Duration) bool {
+	if !n.Use() {
+		return false
+	}
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	n.cellFrom, n.cellTill = n.w.now(), n.w.now()+d
+	return true
+}
+
+// Saves lets saves fail, or take a time.
+func (n *Notebook) Saves(failing bool, slow time.Duration) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	n.failing, n.slow = failing, slow
+}
+
+// Work is how many steps are done and not lost, and whether the process takes input.
+func (n *Notebook) Work() (steps int, usable bool) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return n.work, n.running() && !n.frozen
+}
+
+// Counts tells how often it was reclaimed and resumed.
+func (n *Notebook) Counts() (reclaims, resumes int) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return n.Reclaims, n.Resumes
+}
+
+// NoticeMachine announces that the cloud takes the machine back on which the session runs.
+func (n *Notebook) NoticeMachine(d time.Duration) bool {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	for _, m := range n.w.machines {
+		for _, k := range m.tasks {
+			if !m.dead && k.spec == n.Spec && k.state == running {
+				m.noticeAt = n.w.now() + d
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Open opens the session; it returns the status.
+func (n *Notebook) Open() int {
+	body := struct {
+		*jobs.Spec
+		User  string `json:"user"`
+		Token string `json:"token_sha256"`
+		Agent string `json:"agent_sha256"`
+	}{n.Spec, n.User, sessions.Digest(n.token), sessions.Digest(n.agent)}
+	raw, _ := json.Marshal(body)
+	status, _ := n.ask("", n.token, raw)
+	return status
+}
+
+// Attach is the user's return.
+func (n *Notebook) Attach() (int, sessions.View) {
+	return n.ask("/"+n.Spec.ID+"/attach", n.token, []byte("{}"))
+}
+
+// Keep is a client's sign of life.
+func (n *Notebook) Keep(attachment uint64) int {
+	status, _ := n.once(n.w.Public(0), "/"+n.Spec.ID+"/keep", n.token, []byte(fmt.Sprintf(`{"attachment":%d}`, attachment)))
+	return status
+}
+
+// Close ends the session for good.
+func (n *Notebook) Close() int {
+	n.w.mu.Lock()
+	n.closed = true
+	n.w.mu.Unlock()
+	status, _ := n.ask("/"+n.Spec.ID+"/close", n.token, []byte("{}"))
+	if status == 200 {
+		n.w.Cancelled(n.Spec.ID)
+	}
+	return status
+}
+
+// Show is the session as any user sees it.
+func (n *Notebook) Show() sessions.View {
+	_, v := n.ask("/"+n.Spec.ID, "", nil)
+	return v
+}
+
+// ask asks until it is answered by a leader, for up to a minute.
+func (n *Notebook) ask(path, token string, body []byte) (int, sessions.View) {
+	to := n.w.Public(0)
+	for i, end := 0, time.Now().Add(time.Minute); time.Now().Before(end); i++ {
+		status, raw := n.once(to, path, token, body)
+		switch {
+		case status == 421:
+			var l struct {
+				Leader string `json:"leader"`
+			}
+			if _ = json.Unmarshal(raw, &l); l.Leader != "" && l.Leader != to {
+				to = l.Leader
+				continue
+			}
+		case status != 0 && status != 503 && status != 429:
+			var v sessions.View
+			_ = json.Unmarshal(raw, &v)
+			return status, v
+		}
+		time.Sleep(100 * time.Millisecond)
+		to = n.w.Public(i % n.w.cfg.Controllers)
+	}
+	return 0, sessions.View{}
+}
+
+func (n *Notebook) once(to, path, token string, body []byte) (int, []byte) {
+	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}
+	defer client.CloseIdleConnections()
+	return send(client, to, "/v2/sessions"+path, token, body)
+}
+
+// send sends a request with a token; status 0: no answer.
+func send(c *fasthttp.Client, to, path, token string, body []byte) (int, []byte) {
+	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	q.SetRequestURI("http://" + to + path)
+	if body != nil {
+		q.Header.SetMethod("POST")
+		q.SetBody(body)
+	}
+	if token != "" {
+		q.Header.Set("Authorization", "Bearer "+token)
+	}
+	if c.DoTimeout(q, p, 4*time.Second) != nil {
+		return 0, nil
+	}
+	defer func() { fasthttp.ReleaseRequest(q); fasthttp.ReleaseResponse(p) }()
+	return p.StatusCode(), append([]byte(nil), p.Body()...)
+}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -97,9 +97,13 @@
 	told  map[string]time.Duration // cancelled
 	tasks map[string]*progress     // by task name
 
+	notebooks map[string]*Notebook
+
 	// Licences is the licence server.
 	Licences *LicenceServer
 	stats    Stats
+	known    map[string]time.Duration // jobs, since when
+	waits    map[string]time.Duration // from there to a job's first start
 }
 
 // Stats counts what happened.
@@ -119,7 +123,8 @@
 	w := &World{cfg: cfg, start: time.Now(), stop: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, 7)),
 		svc: state.New(), changed: make(chan struct{}), cut: make([]bool, cfg.Controllers),
 		byName: map[string]*Machine{}, claims: map[string][]string{}, specs: map[string]*jobs.Spec{},
-		told: map[string]time.Duration{}, tasks: map[string]*progress{}}
+		told: map[string]time.Duration{}, tasks: map[string]*progress{}, notebooks: map[string]*Notebook{},
+		known: map[string]time.Duration{}, waits: map[string]time.Duration{}}
 	w.reqs, w.writes = bucket{rate: cfg.State.RPS}, bucket{rate: cfg.State.WriteRPS}
 	w.Licences = newLicenceServer(w, cfg.Pools, cfg.Linger)
 	cloud, err := w.serve(w.cloud)
@@ -200,6 +205,18 @@
 	return w.stats
 }
 
+// Waits lists how long the jobs of a class waited for their first start.
+func (w *World) Waits(class string) (ds []time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, d := range w.waits {
+		if w.specs[id].Class == class {
+			ds = append(ds, d)
+		}
+	}
+	return ds
+}
+
 func (w *World) fail(format string, a ...any) {
 	if len(w.broken) < 100 {
 		w.broken = append(w.broken, fmt.Sprintf("%.2f s: ", w.now().Seconds())+fmt.Sprintf(format, a...))
