Never more machines than the bound; the fleet's bound no longer two short

Cause: max_machines was 0.6 of the sockets, 1,215 for 2,026 sockets and 1,217 machines: arithmetic, since 0.7 are taken from outside. It is 0.65 now, and a twentieth stays for users. And what is rented ahead of need asked for five at a time whatever was left below the bound: up to four beyond it. Both with a test.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -617,7 +617,8 @@
 			p = t.Spot
 		}
 		if n := int((budget - idle) / p); n > 0 {
-			c.ask(now, o, min(n, 5))
+			// Never beyond the bound: five at a time once went four over it.
+			c.ask(now, o, min(n, 5, c.Settings.Operator.MaxMachines-total))
 			return
 		}
 	}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -182,6 +182,41 @@
 	}
 }
 
+// The leader's connections bound the fleet: beyond max_machines nothing is rented, neither for
+// waiting work nor ahead of it, and the work waits.
+func TestNeverMoreMachinesThanTheBound(t *testing.T) {
+	for _, most := range []int{1, 7, 8} {
+		b := setup(t)
+		b.Settings.Operator.MaxMachines, b.Settings.Operator.Headroom = most, 1
+		b.cloud.room = map[string]int{"atrue": 40, "afalse": 40}
+		b.submit(t, 400, true)
+		b.runFor(30 * time.Second)
+		if len(b.cloud.list) != most {
+			t.Errorf("%d machines, at most %d are allowed", len(b.cloud.list), most)
+		}
+		// One less is there and full: what is rented ahead of need keeps to the bound, too.
+		b = setup(t)
+		b.Settings.Operator.MaxMachines, b.Settings.Operator.Headroom = most, 10
+		b.cloud.room = map[string]int{"atrue": 40, "afalse": 40}
+		b.submit(t, 4*most, true)
+		for i := range most - 1 {
+			r := &fleet.Report{Machine: fmt.Sprintf("i-%d", i), Addr: "x", Type: "m", Zone: "a", Spot: true, Session: 1, Seq: 1, Token: 1 << 20}
+			for k := range 4 {
+				r.Tasks = append(r.Tasks, fleet.TaskReport{Task: fmt.Sprintf("req-000001/%d", 4*i+k), Attempt: 1, State: "running"})
+			}
+			b.Fleet.Report(b.cloud.now, r)
+		}
+		b.listedAt = 1
+		b.spare(b.cloud.now, most-1)
+		for _, f := range b.cloud.hold {
+			f()
+		}
+		if n := len(b.cloud.list); n != min(1, most-1) {
+			t.Errorf("%d rented ahead of need with %d of %d machines", n, most-1, most)
+		}
+	}
+}
+
 // A boot that never comes up is deleted, and the lagging list does not bring it back.
 func TestBootThatNeverComesUp(t *testing.T) {
 	b := setup(t)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -296,9 +296,11 @@
 		o.Headroom = 0.1
 	}
 	if o.MaxMachines == 0 {
-		// Every machine takes a connection, and memory for its tasks and plans.
+		// Every machine takes a connection, and memory for its tasks and plans. A twentieth of
+		// the sockets is left of those that are taken from outside: for users, whom the load
+		// balancer spreads over all controllers, and for health checks.
 		l := s.Params.Limits
-		o.MaxMachines = max(1, min(or(l.Sockets, anySockets)*6/10, l.Conns(), int(l.Memory()*8)))
+		o.MaxMachines = max(1, min(or(l.Sockets, anySockets)*13/20, l.Conns(), int(l.Memory()*8)))
 	}
 	for i := range o.Licences {
 		if o.Licences[i].OnLower == "" {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -58,10 +58,10 @@
 		limits          string
 		conns, machines int
 	}{
-		{`{"cores":0.18,"mem_mb":130.0,"sockets":1200}`, 840, 720},
+		{`{"cores":0.18,"mem_mb":130.0,"sockets":1200}`, 840, 780},
 		{`{"cores":0.18,"mem_mb":168.0,"sockets":2500}`, 1612, 1344},
-		{`{"cores":0.01,"mem_mb":24.0,"sockets":32}`, 22, 19},
-		{`{}`, 716, 614},
+		{`{"cores":0.01,"mem_mb":24.0,"sockets":32}`, 22, 20},
+		{`{}`, 716, 665},
 	} {
 		l, machines := sizes(c.limits)
 		if l.Conns() != c.conns || machines != c.machines || l.Tasks() < MaxBody/2 || l.Processor() <= 0 {
@@ -180,3 +180,47 @@
 		}
 	}
 }
+
+// The example files under deploy/ are good, and a session policy is checked when it is read: its
+// error names file, line and column.
+func TestDeployFilesAndSessionPolicies(t *testing.T) {
+	dir := t.TempDir()
+	js := filepath.Join(dir, "s.json")
+	if err := os.WriteFile(js, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"licences.hcl", "sessions.hcl"} {
+		s, err := Load(js, filepath.Join("..", "..", "deploy", name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(s.Pools()) == 0 && !s.Sessions().On {
+			t.Fatalf("%s switches nothing on", name)
+		}
+	}
+	s, err := Load(js, filepath.Join("..", "..", "deploy", "sessions.hcl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tokyo := time.FixedZone("", 9*3600)
+	p := s.Sessions().Of("t")
+	if p.At(time.Date(2026, 12, 4, 19, 0, 0, 0, tokyo)).Limit != 30*time.Minute || p.At(time.Date(2026, 12, 4, 23, 0, 0, 0, tokyo)).Limit != 2*time.Hour {
+		t.Fatalf("%+v", p)
+	}
+	for body, want := range map[string]string{
+		"sessions {\n policy \"t\" {\n  idle = \"inputs > 3\"\n }\n}\n":                               "bad.hcl:3,10",
+		"sessions {\n policy \"t\" {\n  idle = true\n }\n}\n":                                         "must be an expression in quotes",
+		"sessions {\n policy \"x\" {\n  idle = \"cell\"\n }\n}\n":                                     `policy "x"`,
+		"sessions {\n warn_s = -1\n}\n":                                                               "warn_s",
+		"sessions {\n policy \"t\" {\n idle = \"cell\"\n}\n policy \"t\" {\n idle = \"cell\"\n}\n}\n": "there are two",
+		"sessions {\n policy \"t\" {\n idle = \"cell\"\n during \"x\" {\n days = \"Fri\"\n from = \"1\"\n to = \"2:00\"\n zone = \"UTC\"\n}\n}\n}\n": `during "x"`,
+	} {
+		bad := filepath.Join(dir, "bad.hcl")
+		if err := os.WriteFile(bad, []byte(body), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Load(js, bad); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: error %v does not name %s", body, err, want)
+		}
+	}
+}
--- a/internal/config/sessions.go
+++ b/internal/config/sessions.go
@@ -29,7 +29,7 @@
 // SessionPolicy says when a team's sessions are idle and how long they may be.
 type SessionPolicy struct {
 	Team    string         `hcl:"team,label" validate:"required"`
-	Idle    *hcl.Attribute `hcl:"idle"`
+	Idle    *hcl.Attribute `hcl:"idle,optional"` // nil: the default
 	LimitS  float64        `hcl:"limit_s,optional" validate:"gte=0"`
 	WantedS *float64       `hcl:"wanted_s,optional"`
 	During  []SessionHours `hcl:"during,block" validate:"dive"`
@@ -73,7 +73,7 @@
 	if d == nil {
 		return nil
 	}
-	rule, err := sessions.Compile(defaultIdle, "the default")
+	rule, err := compileRule(nil)
 	if err != nil {
 		return err
 	}
@@ -138,7 +138,11 @@
 	return p, nil
 }
 
+// compileRule compiles what stands in an attribute, or the default.
 func compileRule(a *hcl.Attribute) (*sessions.Rule, error) {
+	if a == nil {
+		return sessions.Compile(defaultIdle, "the default")
+	}
 	at := fmt.Sprintf("%s:%d,%d", a.Range.Filename, a.Expr.Range().Start.Line, a.Expr.Range().Start.Column)
 	v, diags := a.Expr.Value(nil)
 	if diags.HasErrors() || v.IsNull() || !v.IsKnown() || v.Type() != cty.String {
--- a/internal/sessions/manager_test.go
+++ b/internal/sessions/manager_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -824,8 +825,15 @@
 		if _, _, err := m.Book.Apply(ids[i], jobs.EncodeRecord(jobs.Pending, 0, 1, spec), 1); err != nil {
 			b.Fatal(err)
 		}
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range ids {
 		m.add(0, ids[i], Record{User: "u", Team: "t", Token: Digest("user"), Agent: Digest("agent")}, 1)
 	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
 	now, k := time.Duration(0), 0
 	b.ReportAllocs()
 	for b.Loop() {
@@ -840,4 +848,5 @@
 			}
 		}
 	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "B/session")
 }
