One command to a cluster; a planned end drains and hands the lead over at once

Need: whoever tried the project had nothing to run it against, and a controller that was stopped let its hold run out. harewalk dev runs controllers and the stand-in world in one process on loopback, with faults from a script. SIGTERM drains: no new submissions, health check fails, open writes settled, hold ended at once, what was asked answered, exit 0 within bounds; a second signal ends it.

A history of kills, drains and kills during drains is checked: every accepted job one final answer, the same at every controller.

--- /dev/null
+++ b/cmd/harewalk/daemon_world_test.go
@@ -0,0 +1,271 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/world"
+)
+
+func plainJob(n, tasks int, estimate float64) *jobs.Spec {
+	return &jobs.Spec{ID: fmt.Sprintf("req-%06d", n), Class: "c", Team: "red", Kind: jobs.Array, Priority: "standard", Tasks: tasks, CPUs: 1, Mem: 1,
+		Image: "i", ImageGB: 0.5, EstimateS: estimate, Spot: true}
+}
+
+// drainWait is within what a drain may take.
+const drainWait = 12 * time.Second
+
+// Controllers are killed, drained and restarted at random moments while users submit, cancel and
+// poll. Every accepted job gets exactly one final answer, which every controller gives, none goes back or
+// is forgotten, and a drain always ends well.
+func TestHistoryThroughKillsAndDrains(t *testing.T) {
+	n, seed := 60, uint64(21)
+	if long() {
+		n = 600
+	}
+	w, err := world.New(world.Config{Seed: seed, Machines: 10, Teams: []config.Team{{Name: "red"}, {Name: "blue"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	c := cluster(t, w, "")
+	u := w.Users(seed)
+	stop := make(chan struct{})
+	var playing, cancels sync.WaitGroup
+	var drained atomic.Int32
+	playing.Add(1)
+	go func() {
+		defer playing.Done()
+		rng := rand.New(rand.NewPCG(seed, 9))
+		for kind := 0; ; kind++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Duration(500+rng.IntN(2500)) * time.Millisecond):
+			}
+			i := rng.IntN(3)
+			switch kind % 3 {
+			case 0:
+				c.Kill(i)
+			case 1: // killed while it drains
+				c.Signal(i, syscall.SIGTERM, 0)
+				time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
+				c.Kill(i)
+			default:
+				if code := c.Signal(i, syscall.SIGTERM, drainWait); code != 0 {
+					t.Errorf("a drain ended with exit code %d", code)
+				}
+				drained.Add(1)
+			}
+			time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
+			if err := c.Start(i); err != nil {
+				t.Error(err)
+			}
+		}
+	}()
+	rng := rand.New(rand.NewPCG(seed, 10))
+	for i := range n {
+		s := plainJob(i+1, 1+rng.IntN(8), 0.3+rng.Float64())
+		if status := u.Submit(s); status != 200 && status != 201 {
+			t.Fatalf("%s: status %d", s.ID, status)
+		}
+		if rng.IntN(4) == 0 {
+			cancels.Add(1)
+			go func() {
+				defer cancels.Done()
+				time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
+				u.Cancel(s.ID)
+			}()
+		}
+		time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+	}
+	cancels.Wait()
+	until(t, "each kind of end", func() bool { return drained.Load() > 0 })
+	close(stop)
+	playing.Wait()
+	for i := range 3 {
+		if err := c.Start(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := u.Wait(3 * time.Minute); err != nil {
+		t.Error(err)
+	}
+	u.Check()
+	for _, b := range w.Broken() {
+		t.Error(b)
+	}
+	final, repeated := u.Final()
+	if got := final["done"] + final["cancelled"]; got != n || final["done"] == 0 || final["cancelled"] == 0 {
+		t.Errorf("%d jobs, final answers %v", n, final)
+	}
+	t.Logf("%d jobs: %v; %d requests repeated; %d killed, %d drained", n, final, repeated, c.Kills, drained.Load())
+}
+
+// The leader is drained while work flows: another leads without waiting for its hold to run out. How
+// long nothing starts is logged beside the same for a leader that is killed.
+func TestPlannedHandOver(t *testing.T) {
+	w, err := world.New(world.Config{Seed: 22, Machines: 8, Teams: []config.Team{{Name: "red"}, {Name: "blue"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	c := cluster(t, w, "")
+	u := w.Users(22)
+	for i := range 6 {
+		if status := u.Submit(plainJob(i+1, 400, 0.5)); status != 201 {
+			t.Fatalf("status %d", status)
+		}
+	}
+	rounds := 1
+	if long() {
+		rounds = 5
+	}
+	until(t, "work flows", func() bool { return w.Stats().Starts > 100 })
+	var drained, killed []time.Duration
+	for range rounds {
+		for _, kill := range []bool{false, true} {
+			leader, term := -1, uint64(0)
+			until(t, "a leader", func() bool { leader, term = w.Leader(); return leader >= 0 && c.Runs(leader) })
+			time.Sleep(3 * time.Second)
+			from := w.Now()
+			if kill {
+				c.Kill(leader)
+			} else if code := c.Signal(leader, syscall.SIGTERM, drainWait); code != 0 {
+				t.Fatalf("the leader's drain ended with exit code %d", code)
+			}
+			until(t, "another leads", func() bool { l, now := w.Leader(); return l >= 0 && now > term })
+			time.Sleep(4 * time.Second)
+			if gap := w.Gap(from, w.Now()-time.Second); kill {
+				killed = append(killed, gap)
+			} else {
+				drained = append(drained, gap)
+			}
+			if err := c.Start(leader); err != nil {
+				t.Fatal(err)
+			}
+			if err := c.Ready(leader, 20*time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	for i := range 6 {
+		u.Cancel(fmt.Sprintf("req-%06d", i+1))
+	}
+	for _, b := range w.Broken() {
+		t.Error(b)
+	}
+	t.Logf("longest time without a start: leader drained %v, leader killed %v (hold's life 2 s)", drained, killed)
+}
+
+// The leader is drained while the state service answers nobody: its end comes within bounds all the
+// same, and what was accepted goes on afterwards. A second signal ends a drain at once.
+func TestDrainInAnOutage(t *testing.T) {
+	w, err := world.New(world.Config{Seed: 23, Machines: 4, Teams: []config.Team{{Name: "red"}, {Name: "blue"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	c := cluster(t, w, "")
+	u := w.Users(23)
+	if status := u.Submit(plainJob(1, 40, 0.5)); status != 201 {
+		t.Fatalf("status %d", status)
+	}
+	until(t, "work flows", func() bool { return w.Stats().Starts > 5 })
+	leader, _ := w.Leader()
+	w.Outage(true)
+	if code := c.Signal(leader, syscall.SIGTERM, drainWait); code != 0 {
+		t.Fatalf("exit code %d", code)
+	}
+	other := (leader + 1) % 3
+	c.Signal(other, syscall.SIGTERM, 0)
+	time.Sleep(200 * time.Millisecond)
+	if code := c.Signal(other, syscall.SIGTERM, drainWait); code != 1 {
+		t.Fatalf("exit code %d after a second signal", code)
+	}
+	w.Outage(false)
+	for _, i := range []int{leader, other} {
+		if err := c.Start(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := u.Wait(time.Minute); err != nil {
+		t.Error(err)
+	}
+	u.Check()
+	for _, b := range w.Broken() {
+		t.Error(b)
+	}
+}
+
+// One command runs a whole cluster: the sample it prints is done, faults of a script are played, and
+// it ends cleanly.
+func TestDevCluster(t *testing.T) {
+	script := filepath.Join(t.TempDir(), "faults")
+	if err := os.WriteFile(script, []byte("100ms crash-task\n200ms outage 300ms\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	d := dev{machines: 6, controllers: 3, zones: []string{"a", "b"}, seed: 1, speed: 40, script: script, logs: "error",
+		operator: filepath.Join("..", "..", "deploy", "licences.hcl")}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	var out, errs lockedBuffer
+	ended := make(chan error, 1)
+	go func() { ended <- d.run(ctx, &out, &errs) }()
+	until(t, "welcome", func() bool { return strings.Contains(out.String(), "Ctrl-C ends it.") })
+	server := strings.Fields(out.String()[strings.Index(out.String(), "controller 0"):])[2]
+	if !strings.HasPrefix(server, "127.0.0.1:") {
+		t.Fatalf("controller at %s", server)
+	}
+	raw, err := json.Marshal(sample)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if status, body, _, err := once("POST", "http://"+server+"/v2/runs", raw); err != nil || status != 201 {
+		t.Fatalf("status %d, %v: %s", status, err, body)
+	}
+	until(t, "the sample is done", func() bool {
+		_, body, _, _ := once("GET", "http://"+server+"/v2/runs/req-000001", nil)
+		return bytes.Contains(body, []byte(`"done","done":16`))
+	})
+	until(t, "faults are played", func() bool { return strings.Contains(errs.String(), "outage 300ms") })
+	stop()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	for _, bad := range []dev{{machines: 0, controllers: 3, zones: []string{"a"}, speed: 1}, {machines: 1, controllers: 3, zones: []string{"a"}, speed: 0}, {machines: 1, zones: []string{"a"}, speed: 1}} {
+		if err := bad.run(ctx, &out, &errs); err == nil || !strings.HasPrefix(err.Error(), "--") {
+			t.Errorf("%+v: error %v names no flag", bad, err)
+		}
+	}
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
--- a/cmd/harewalk/main.go
+++ b/cmd/harewalk/main.go
@@ -9,7 +9,9 @@
 	"io"
 	"log/slog"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -60,7 +62,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(serveCmd(), checkCmd(), jobCmd(), licenceCmd(), sessionCmd(), &cobra.Command{
+	cmd.AddCommand(serveCmd(), checkCmd(), jobCmd(), licenceCmd(), sessionCmd(), devCmd(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "harewalk", version) },
 	})
@@ -78,6 +80,8 @@
 	c := &cobra.Command{
 		Use: "serve --config FILE", Short: "Run one controller until it is ended", Args: cobra.NoArgs,
 		Long: "Run one controller. It keeps nothing on disk and may be ended at any time.\n" +
+			"SIGTERM drains it: it takes no new submissions, hands the lead over at once, answers what it was asked and\n" +
+			"ends with exit code 0 within ten seconds. A second signal ends it at once, with exit code 1.\n" +
 			"LOG_LEVEL sets what goes to standard error: error, info (default) or debug.",
 		Example: "  harewalk serve --config /etc/harewalk/settings.json --operator /etc/harewalk/operator.hcl",
 		RunE: func(*cobra.Command, []string) error {
@@ -88,16 +92,36 @@
 			if err != nil {
 				return coded{exitUsage, err}
 			}
-			if err := controller.New(s).Run(); err != nil {
-				return coded{exitFailed, err}
-			}
-			return nil
+			return serve(controller.New(s))
 		},
 	}
 	settingsFlags(c, &file, &hcl)
 	return c
 }
 
+// serve runs a controller until it fails, or until a signal has drained it.
+func serve(c *controller.Controller) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	fail := make(chan error, 1)
+	go func() { fail <- c.Run() }()
+	var drained <-chan struct{}
+	for {
+		select {
+		case err := <-fail:
+			return coded{exitFailed, err}
+		case <-drained:
+			return nil
+		case s := <-signals:
+			if drained != nil {
+				return coded{exitFailed, fmt.Errorf("ended by a second signal (%s) while it drained", s)}
+			}
+			slog.Info("signal", "name", s.String())
+			drained = c.Drain()
+		}
+	}
+}
+
 func logTo(w io.Writer, level string) error {
 	var l slog.Level
 	switch strings.ToLower(level) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -86,6 +86,12 @@
 	steady  time.Duration // since when authority was not interrupted
 	had     bool
 
+	// A planned end.
+	life   Life
+	lifeAt time.Duration
+	calm   time.Duration // since when nothing was under way while leaving
+	ended  chan struct{}
+
 	summary  time.Duration
 	links    []*peers.Link
 	status   map[string]heard
@@ -107,7 +113,7 @@
 	start := time.Now()
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(s.Node))
-	c := &Controller{s: s, loop: NewLoop(start), status: map[string]heard{}, byType: map[int32]*fleet.Type{},
+	c := &Controller{s: s, loop: NewLoop(start), status: map[string]heard{}, ended: make(chan struct{}), byType: map[int32]*fleet.Type{},
 		rng: rand.New(rand.NewPCG(seed.Sum64(), uint64(start.UnixNano())))}
 	c.send = httpio.New(s.Params.Limits.Outgoing(serviceSlots), c.loop.Post)
 	c.wire = httpio.New(s.Params.Limits.Outgoing(workerSlots), c.loop.Post)
@@ -301,7 +307,7 @@
 // answers nobody, this controller is as good as any other.
 func (c *Controller) up() bool {
 	now := c.loop.Now()
-	if !c.mir.Synced() || len(c.types) == 0 {
+	if !c.mir.Synced() || len(c.types) == 0 || c.life != Serving {
 		return false
 	}
 	if now-c.store.LastOK() < 3*time.Second {
@@ -417,6 +423,9 @@
 	c.in.Tick(now)
 	c.learnTypes(now)
 	c.tell(now)
+	if c.life != Serving {
+		c.drain(now)
+	}
 	if c.fleet == nil {
 		return
 	}
--- /dev/null
+++ b/internal/controller/drain.go
@@ -0,0 +1,93 @@
+package controller
+
+import (
+	"log/slog"
+	"time"
+)
+
+// Life is where a controller stands between its start and a planned end.
+type Life uint8
+
+// The states of a life.
+//
+//	Serving   -> Flushing  told to drain while it leads: no new starts, open writes are settled
+//	Serving   -> Leaving   told to drain while another leads
+//	Flushing  -> Leaving   its writes are settled, or took too long: the lead is given up at once
+//	Leaving   -> Ended     what was asked is answered and another leads, or it takes too long
+const (
+	Serving Life = iota
+	Flushing
+	Leaving
+	Ended
+)
+
+func (l Life) String() string { return [...]string{"serving", "flushing", "leaving", "ended"}[l] }
+
+// Bounds of a drain.
+const (
+	flushFor = time.Second     // for open writes of a leader
+	leaveFor = 5 * time.Second // for answers, and until another leads
+	// calmFor is how long nothing must have been under way: a load balancer takes two failed
+	// health checks, a second apart, to stop sending users.
+	calmFor = 2 * time.Second
+)
+
+// Drain takes the controller out of service: it takes no new submissions, fails its health check,
+// hands the lead over instead of letting its hold run out, and answers what it was asked. The channel
+// is closed when it may end, which is within a few seconds.
+func (c *Controller) Drain() <-chan struct{} {
+	c.loop.Post(func() {
+		if c.life == Serving {
+			c.in.Drain()
+			if c.fleet != nil {
+				c.fleet.Hold()
+				c.turn(c.loop.Now(), Flushing, "told to drain")
+			} else {
+				c.leave(c.loop.Now(), "told to drain")
+			}
+		}
+	})
+	return c.ended
+}
+
+// turn is the only place where the life's state changes.
+func (c *Controller) turn(now time.Duration, to Life, cause string) {
+	slog.Info("drain", "from", c.life.String(), "to", to.String(), "cause", cause)
+	c.life, c.lifeAt = to, now
+	if to == Ended {
+		close(c.ended)
+	}
+}
+
+// leave gives up the lead, or the hold of one that doesn't lead, so that nobody waits for it.
+func (c *Controller) leave(now time.Duration, cause string) {
+	c.turn(now, Leaving, cause)
+	c.mem.Leave(now)
+	c.calm = now
+}
+
+// drain goes on with a drain.
+func (c *Controller) drain(now time.Duration) {
+	switch c.life {
+	case Flushing:
+		switch {
+		case c.fleet == nil:
+			c.leave(now, "the lead is lost")
+		case !c.fleet.Writing():
+			c.leave(now, "all writes are settled")
+		case now-c.lifeAt > flushFor:
+			c.leave(now, "a write is open: the next leader reads what stands")
+		}
+	case Leaving:
+		if c.in.Busy() {
+			c.calm = now
+		}
+		led := c.mem.Leader().Node != "" && c.mem.Leader().Node != c.s.Node
+		switch {
+		case now-c.calm > calmFor && (led || len(c.s.Peers) == 0):
+			c.turn(now, Ended, "all is answered and another leads")
+		case now-c.lifeAt > leaveFor:
+			c.turn(now, Ended, "it takes too long")
+		}
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -107,7 +107,8 @@
 	shard    int    // written last
 	imagesAt time.Duration
 
-	ordering int // direct commands under way
+	held     bool // nothing new is started: the lead is being handed over
+	ordering int  // direct commands under way
 	writing  bool
 	retry    func(time.Duration)
 	retryAt  time.Duration
@@ -137,6 +138,12 @@
 	return f
 }
 
+// Hold starts nothing new from now on; what runs goes on, and what is due is written.
+func (f *Fleet) Hold() { f.held = true }
+
+// Writing tells whether a write is under way.
+func (f *Fleet) Writing() bool { return f.writing }
+
 // Loaded tells whether the durable plans were read.
 func (f *Fleet) Loaded() bool { return f.loaded }
 
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -167,7 +167,7 @@
 // gets its next planned task.
 func (f *Fleet) starts(now time.Duration, m *Machine) []Command {
 	var out []Command
-	if m.Condition != Acting || m.Retiring || m.Planned == 0 || !m.least.Fits(m.Free()) {
+	if f.held || m.Condition != Acting || m.Retiring || m.Planned == 0 || !m.least.Fits(m.Free()) {
 		return nil
 	}
 	ixs := f.ixs[:0]
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -99,6 +99,15 @@
 	checks     []check
 	checking   bool
 	nextCheck  time.Duration
+	draining   bool
+}
+
+// Drain refuses submissions from now on; what was taken is answered.
+func (n *Intake) Drain() { n.draining = true }
+
+// Busy tells whether users wait for an answer.
+func (n *Intake) Busy() bool {
+	return n.submitting || n.checking || len(n.submits)+len(n.checks) > 0
 }
 
 // New makes an intake.
@@ -125,6 +134,10 @@
 
 // Submit takes a parsed submission.
 func (n *Intake) Submit(now time.Duration, s *jobs.Spec, reply func(Reply)) {
+	if n.draining {
+		reply(refuse(503, "this controller is being drained: ask another"))
+		return
+	}
 	if !n.Ready() {
 		reply(refuse(503, "still reading the jobs"))
 		return
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -111,6 +111,10 @@
 	campaign  time.Duration // not before
 	quiet     time.Duration // do not campaign before, after resigning
 	busy      bool
+	left      bool   // for good
+	leaving   uint64 // hold to be ended since
+	releasing bool
+	retried   bool
 	synced    bool
 	freshness func() time.Duration
 
@@ -185,6 +189,28 @@
 	m.lose(now)
 }
 
+// Leave ends the hold at once, for good: whoever takes over need not wait for it. Authority ends
+// here, before the request goes out.
+func (m *Membership) Leave(now time.Duration) {
+	slog.Info("leaving", "term", m.leader.Term)
+	m.left, m.leaving = true, m.hold
+	m.lose(now)
+	m.release(now)
+}
+
+// release ends the hold that was left, again until that is known to be done.
+func (m *Membership) release(now time.Duration) {
+	if m.leaving == 0 || m.releasing || now < m.retryAt && m.retried {
+		return
+	}
+	m.releasing, m.retried = true, true
+	m.store.EndHold(m.leaving, func(ok bool) {
+		if m.releasing, m.retryAt = false, m.store.Now()+300*time.Millisecond; ok {
+			m.leaving = 0
+		}
+	})
+}
+
 func (m *Membership) lose(now time.Duration) {
 	m.hold, m.until, m.busy, m.renewing = 0, 0, false, false
 	m.retryAt = now + 100*time.Millisecond
@@ -272,6 +298,10 @@
 // Tick sends what is due.
 func (m *Membership) Tick(now time.Duration) {
 	m.renew(now)
+	if m.left {
+		m.release(now)
+		return
+	}
 	if m.busy || now < m.retryAt || !m.synced {
 		return
 	}
--- a/internal/world/machine.go
+++ b/internal/world/machine.go
@@ -188,7 +188,7 @@
 	if n := w.notebooks[k.spec.ID]; n != nil {
 		n.begins(now, k)
 	}
-	k.work = max(0.01, (k.spec.EstimateS-w.stat(k).saved)*(0.8+0.4*w.rng.Float64()))
+	k.work = max(0.01, (k.spec.EstimateS-w.stat(k).saved)*(0.8+0.4*w.rng.Float64())/w.cfg.Speed)
 }
 
 // exit ends a task by itself: what it held it gives back, unless it fails.
@@ -228,6 +228,7 @@
 // begin is the moment a task has its image: the rules look here.
 func (w *World) begin(now time.Duration, m *Machine, k *task) {
 	k.counted = true
+	w.began = append(w.began, now)
 	if _, ok := w.waits[k.spec.ID]; !ok {
 		w.waits[k.spec.ID] = now - w.known[k.spec.ID]
 	}
@@ -341,7 +342,7 @@
 
 func (w *World) launch(now time.Duration, m *Machine, c fleet.Command) *task {
 	id, _, _ := strings.Cut(c.Task, "/")
-	k := &task{name: c.Task, attempt: c.Attempt, spec: w.specs[id], state: pulling, ready: now}
+	k := &task{name: c.Task, attempt: c.Attempt, spec: w.spec(id), state: pulling, ready: now}
 	if k.spec == nil {
 		k.spec = &jobs.Spec{ID: id}
 		k.state, k.why = exited, "no_such"
@@ -368,6 +369,18 @@
 	return k
 }
 
+// spec finds a job's description: as its user uploaded it or, where nobody did, as it stands
+// in the state service.
+func (w *World) spec(id string) *jobs.Spec {
+	if w.specs[id] == nil {
+		var r jobs.Record
+		if json.Unmarshal(w.svc.Keys[jobs.RecordKey(id)].Value, &r) == nil && r.Spec != nil {
+			w.specs[id] = r.Spec
+		}
+	}
+	return w.specs[id]
+}
+
 func (w *World) halt(now time.Duration, k *task, c fleet.Command) {
 	grace := 0.0
 	if c.GraceS != nil {
@@ -472,7 +485,7 @@
 			Keeper string `json:"keeper"`
 		}
 		_ = json.Unmarshal(body, &a)
-		i := slices.IndexFunc(w.cfgNodes(), func(n string) bool { return n == a.Keeper })
+		i := slices.IndexFunc(w.nodes(), func(n string) bool { return n == a.Keeper })
 		if i >= 0 && i != m.keeper {
 			m.keeper, m.next = i, now
 			return
@@ -482,7 +495,8 @@
 	m.next = now + seconds(min(1, w.cfg.Workers.ReportS))
 }
 
-func (w *World) cfgNodes() (ns []string) {
+// nodes are the controllers' names.
+func (w *World) nodes() (ns []string) {
 	for _, s := range w.settings {
 		ns = append(ns, s.Node)
 	}
--- /dev/null
+++ b/internal/world/script.go
@@ -0,0 +1,122 @@
+package world
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Fault is one line of a script: what happens when.
+type Fault struct {
+	At   time.Duration
+	Text string
+	Do   func(*World)
+}
+
+// faults are the words of a script, with how many arguments each takes: times, but for refuse's
+// first, which is a controller's number.
+var faults = map[string]struct {
+	args string
+	make func(d time.Duration, n int) func(*World)
+}{
+	"crash-task":   {"", func(time.Duration, int) func(*World) { return func(w *World) { w.CrashTask() } }},
+	"kill-machine": {"", func(time.Duration, int) func(*World) { return func(w *World) { w.KillMachine() } }},
+	"hang":         {"t", func(d time.Duration, _ int) func(*World) { return func(w *World) { w.Hang(d) } }},
+	"delay":        {"t", func(d time.Duration, _ int) func(*World) { return func(w *World) { w.Delay(d) } }},
+	"notice":       {"t", func(d time.Duration, _ int) func(*World) { return func(w *World) { w.Notice(d) } }},
+	"outage":       {"t", func(d time.Duration, _ int) func(*World) { return during(d, (*World).Outage) }},
+	"cloud-outage": {"t", func(d time.Duration, _ int) func(*World) { return during(d, (*World).CloudOutage) }},
+	"licence-down": {"t", func(d time.Duration, _ int) func(*World) {
+		return during(d, func(w *World, on bool) { w.Licences.Down(on) })
+	}},
+	"refuse": {"nt", func(d time.Duration, n int) func(*World) {
+		return during(d, func(w *World, on bool) {
+			if n < w.cfg.Controllers {
+				w.Refuse(n, on)
+			}
+		})
+	}},
+}
+
+// during switches something on for a time.
+func during(d time.Duration, set func(*World, bool)) func(*World) {
+	return func(w *World) {
+		set(w, true)
+		go func() {
+			select {
+			case <-time.After(d):
+				set(w, false)
+			case <-w.stop:
+			}
+		}()
+	}
+}
+
+// FaultWords lists what a script may say.
+func FaultWords() []string {
+	var ws []string
+	for name, f := range faults {
+		ws = append(ws, strings.TrimSpace(name+" "+strings.NewReplacer("n", "CONTROLLER ", "t", "TIME").Replace(f.args)))
+	}
+	sort.Strings(ws)
+	return ws
+}
+
+// ParseScript reads faults, one a line: "12s hang 5s". Its error names the line.
+func ParseScript(r io.Reader) ([]Fault, error) {
+	var out []Fault
+	lines := bufio.NewScanner(r)
+	for no := 1; lines.Scan(); no++ {
+		text, _, _ := strings.Cut(lines.Text(), "#")
+		fs := strings.Fields(text)
+		if len(fs) == 0 {
+			continue
+		}
+		wrong := func(what string) error { return fmt.Errorf("line %d: %q: %s", no, strings.TrimSpace(text), what) }
+		at, err := time.ParseDuration(fs[0])
+		if err != nil || at < 0 || len(fs) < 2 {
+			return nil, wrong("begin with a time and a fault, such as \"12s kill-machine\"")
+		}
+		f, ok := faults[fs[1]]
+		if !ok {
+			return nil, wrong("no such fault; there are " + strings.Join(FaultWords(), ", "))
+		}
+		if len(fs)-2 != len(f.args) {
+			return nil, wrong(fmt.Sprintf("%s takes %d arguments", fs[1], len(f.args)))
+		}
+		var d time.Duration
+		n := 0
+		for i, kind := range f.args {
+			if kind == 'n' {
+				n, err = strconv.Atoi(fs[2+i])
+			} else {
+				d, err = time.ParseDuration(fs[2+i])
+			}
+			if err != nil || d < 0 || n < 0 {
+				return nil, wrong(fs[2+i] + " is not what belongs there")
+			}
+		}
+		out = append(out, Fault{at, strings.Join(fs[1:], " "), f.make(d, n)})
+	}
+	sort.SliceStable(out, func(a, b int) bool { return out[a].At < out[b].At })
+	return out, lines.Err()
+}
+
+// Play plays a script from now on; say is told of each fault. It returns when all are played or
+// the world ends.
+func (w *World) Play(script []Fault, say func(Fault)) {
+	began := time.Now()
+	for _, f := range script {
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(time.Until(began.Add(f.At))):
+		}
+		say(f)
+		f.Do(w)
+	}
+}
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/harewalk/harewalk/internal/httpio"
+	"github.com/harewalk/harewalk/internal/membership"
 	"github.com/harewalk/harewalk/internal/store"
 )
 
@@ -41,6 +42,15 @@
 	return n
 }
 
+// Leader is the controller that leads by what the state service holds, -1 for none, and its term.
+func (w *World) Leader() (controller int, term uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var l membership.Leader
+	_ = json.Unmarshal(w.svc.Keys[membership.Prefix+"leader"].Value, &l)
+	return slices.Index(w.nodes(), l.Node), l.Term
+}
+
 func (w *World) expireHolds(now time.Duration) {
 	if w.down {
 		return
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -38,6 +38,8 @@
 	Machines int
 	// Pools are the licence pools of the licence server, by name.
 	Pools map[string]int
+	// Speed is how many times faster tasks run than their owners estimate.
+	Speed float64
 	// Linger is how long it counts a holder that it hears no more.
 	Linger time.Duration
 }
@@ -54,6 +56,7 @@
 	c.Controllers = or(c.Controllers, 3)
 	c.Machines = or(c.Machines, 20)
 	c.Linger = or(c.Linger, 4*time.Second)
+	c.Speed = or(c.Speed, 1)
 	if c.Zones == nil {
 		c.Zones = []string{"a", "b"}
 	}
@@ -102,6 +105,7 @@
 	// Licences is the licence server.
 	Licences *LicenceServer
 	stats    Stats
+	began    []time.Duration          // when tasks started
 	known    map[string]time.Duration // jobs, since when
 	waits    map[string]time.Duration // from there to a job's first start
 }
@@ -205,6 +209,22 @@
 	return w.stats
 }
 
+// Now is the world's time, from its start.
+func (w *World) Now() time.Duration { return w.now() }
+
+// Gap is the longest time without any start between two moments.
+func (w *World) Gap(from, to time.Duration) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	last, gap := from, time.Duration(0)
+	for _, t := range w.began {
+		if t >= from && t <= to {
+			gap, last = max(gap, t-last), t
+		}
+	}
+	return max(gap, to-last)
+}
+
 // Waits lists how long the jobs of a class waited for their first start.
 func (w *World) Waits(class string) (ds []time.Duration) {
 	w.mu.Lock()
