job why: each part of a job is told why it waits, as planning decided

Need: nobody could see why a job waits. Planning notes its verdict where it decides (team limit, licence, no machine, gang short by how many, retry), lanes and open plans are counted, and the leader tells each part in words and by code, with who ranks before it and what is booting. harewalk job why asks any controller.

--- a/cmd/harewalk/daemon_world_test.go
+++ b/cmd/harewalk/daemon_world_test.go
@@ -269,3 +269,45 @@
 	defer l.mu.Unlock()
 	return l.b.String()
 }
+
+// A user asks any controller why a job waits, and is told in plain words.
+func TestWhyCommand(t *testing.T) {
+	w, err := world.New(world.Config{Seed: 24, Machines: 2, Teams: []config.Team{{Name: "red", CPUsMax: 4}, {Name: "blue"}}, Pools: map[string]int{"transcribe": 24, "optimise": 8}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	cluster(t, w, fmt.Sprintf(pools, w.Licences.Addr))
+	u := w.Users(24)
+	limited, large := plainJob(1, 10, 600), plainJob(2, 60, 600)
+	large.Team = "blue"
+	gang := plainJob(3, 4, 600)
+	gang.Kind, gang.Team, gang.CPUs = jobs.Gang, "blue", 10
+	seats := plainJob(4, 9, 600)
+	seats.Licences, seats.Team, seats.Priority = map[string]int{"optimise": 2}, "blue", "prod"
+	for _, s := range []*jobs.Spec{seats, limited, large, gang} {
+		if status := u.Submit(s); status != 201 {
+			t.Fatalf("status %d", status)
+		}
+	}
+	for id, want := range map[string]string{"req-000001": "team red is at its limit", "req-000002": "in the lanes of what is there now", "req-000003": "a gang of 4 tasks needs as many places",
+		"req-000004": "licence optimise: no seat is free"} {
+		out, code := "", 0
+		until(t, id+" is explained: "+want, func() bool {
+			out, code = command(t, "job", "why", id, "--server", w.Public(1))
+			return code == 0 && strings.Contains(out, want)
+		})
+	}
+	if out, code := command(t, "job", "why", "req-000099", "--server", w.Public(2)); code != 2 || !strings.Contains(out, "no such job") {
+		t.Fatalf("exit %d: %s", code, out)
+	}
+	if out, code := command(t, "job", "why", "req-000003", "-o", "json", "--server", w.Public(2)); code != 0 || !strings.Contains(out, `"why": "gang_short"`) {
+		t.Fatalf("exit %d: %s", code, out)
+	}
+	for i := 1; i <= 4; i++ {
+		u.Cancel(fmt.Sprintf("req-%06d", i))
+	}
+	for _, b := range w.Broken() {
+		t.Error(b)
+	}
+}
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -688,3 +688,21 @@
 		c.nextRent = now + 200*time.Millisecond
 	}
 }
+
+// Booting tells how many machines are on their way that a job may use, and in how many seconds
+// the first of them is expected, 0 where it is overdue.
+func (c *Manager) Booting(now time.Duration, j *jobs.Job) (n int, next float64) {
+	next = math.Inf(1)
+	for _, b := range c.boots {
+		t := c.typ(b.typ)
+		if t == nil || !j.Allows(b.typ, b.zone, b.spot) || !j.Spec.Size().Fits(t.Size()) {
+			continue
+		}
+		n++
+		next = min(next, max(0, t.BootS-(now-b.since).Seconds()))
+	}
+	if n == 0 {
+		return 0, 0
+	}
+	return n, next
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -181,13 +181,9 @@
 	return <-fail
 }
 
-// leaderCalls are the requests that only the leader can answer, nil where there are none.
+// leaderCalls are the requests that only the leader can answer.
 func (c *Controller) leaderCalls() *intake.Leader {
-	l := &intake.Leader{Token: c.s.Operator.Token, Answer: c.leaderCall, Licences: len(c.pools.Pools()) > 0, Sessions: c.s.Sessions().On}
-	if !l.Licences && !l.Sessions {
-		return nil
-	}
-	return l
+	return &intake.Leader{Token: c.s.Operator.Token, Answer: c.leaderCall, Licences: len(c.pools.Pools()) > 0, Sessions: c.s.Sessions().On}
 }
 
 // leaderCall answers such a request, or says who leads.
@@ -205,6 +201,8 @@
 		}{"only the leader knows", l.Public}})
 	case !c.mem.Authority(now) || !c.fleet.Loaded():
 		reply(intake.Refuse(503, "the leader may not act now"))
+	case q.What == "why":
+		c.whyCall(now, q, reply)
 	case q.What == "licences":
 		c.licenceCall(now, q, reply)
 	default:
--- /dev/null
+++ b/internal/controller/why.go
@@ -0,0 +1,55 @@
+package controller
+
+import (
+	"math"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/fleet"
+	"github.com/harewalk/harewalk/internal/intake"
+	"github.com/harewalk/harewalk/internal/jobs"
+)
+
+// Why is what is told of a job that waits.
+type Why struct {
+	ID      string       `json:"name_id"`
+	Stance  string       `json:"stance"`
+	Tasks   int          `json:"tasks"`
+	Done    int          `json:"done"`
+	Running int          `json:"running"`
+	Waiting []fleet.Part `json:"waiting"`
+	// Ahead is how many jobs that wait rank before it, and the nearest of them.
+	Ahead   int      `json:"ahead"`
+	Nearest []string `json:"nearest"`
+	// Booting is how many machines are on their way that it may use, and in how many seconds the
+	// first is expected.
+	Booting  int     `json:"booting"`
+	BootingS float64 `json:"booting_next_s"`
+}
+
+// nearest bounds the names of jobs that are told.
+const nearest = 5
+
+// whyCall answers why a job waits, from what planning has noted.
+func (c *Controller) whyCall(now time.Duration, q intake.Call, reply func(intake.Reply)) {
+	j := c.book.Get(q.Name)
+	if j == nil {
+		reply(intake.Refuse(404, "no such job"))
+		return
+	}
+	w := Why{ID: j.ID, Stance: j.Stance.String(), Tasks: j.N, Waiting: []fleet.Part{}, Nearest: []string{}}
+	w.Done, w.Running = c.counts(j)
+	if j.Stance == jobs.Pending && j.Tasks != nil {
+		if w.Running > 0 {
+			w.Stance = "running"
+		}
+		if ps := c.fleet.Why(now, j); ps != nil {
+			w.Waiting = ps
+		}
+		if ids, n := c.fleet.Ahead(j, nearest); n > 0 {
+			w.Nearest, w.Ahead = ids, n
+		}
+		w.Booting, w.BootingS = c.cap.Booting(now, j)
+		w.BootingS = math.Round(w.BootingS)
+	}
+	reply(intake.Reply{Status: 200, Body: w})
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -97,6 +97,7 @@
 	ordinary map[int32]bool                // machine types that jobs which may not use spot need
 	kinds    map[int32]bool                // machine types seen
 	pleaded  map[jobs.Index]time.Duration  // jobs that had others stopped, when last
+	verdicts map[jobs.Index]verdict        // what planning last decided about what is unplanned
 	grants   map[jobs.Index]licences.Grant // of jobs that need licences, by the last pass
 	news     bool                          // a plan became durable since the last push
 	barren   map[jobs.Index]time.Duration  // arrays for which no machine was found, until when
@@ -132,7 +133,7 @@
 	f := &Fleet{Env: env, Term: term, since: now, byName: map[string]*Machine{},
 		within: map[jobs.Index]bool{}, classes: map[int32]*classStats{}, LastReport: now,
 		hints: map[string][]cached{}, spread: map[jobs.Index]map[int32]int{}, barren: map[jobs.Index]time.Duration{}, pleaded: map[jobs.Index]time.Duration{},
-		grants: map[jobs.Index]licences.Grant{}, ordinary: map[int32]bool{}, kinds: map[int32]bool{}, listed: map[Ref]struct{}{}}
+		grants: map[jobs.Index]licences.Grant{}, verdicts: map[jobs.Index]verdict{}, ordinary: map[int32]bool{}, kinds: map[int32]bool{}, listed: map[Ref]struct{}{}}
 	d := env.Book.Door
 	f.Gate = admission.New(quota.New(env.Settings.Params.Teams, d.Teams.Index), licences.New(d.Pools, d.Teams.Index, now))
 	return f
@@ -435,6 +436,7 @@
 	delete(f.barren, j.Index)
 	delete(f.pleaded, j.Index)
 	delete(f.grants, j.Index)
+	delete(f.verdicts, j.Index)
 	if j.Tasks == nil {
 		return
 	}
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -87,6 +87,8 @@
 	changed time.Duration    // when the counts were last changed
 	most    map[string]int   // the highest count of the last minute
 	peak    map[string]int
+
+	each func() // after every tick of the fleet
 }
 
 // lingering is a seat that its server still counts.
@@ -719,6 +721,9 @@
 		}
 		if w.fleet != nil && w.now%(100*time.Millisecond) == 0 {
 			w.fleet.Tick(w.now, true)
+			if w.each != nil {
+				w.each()
+			}
 		}
 	}
 }
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -322,22 +322,33 @@
 // planArray plans an array's unplanned tasks by Balance-Reduce over the lanes of all
 // machines that may take them.
 func (f *Fleet) planArray(now time.Duration, j *jobs.Job) {
-	if j.In[jobs.Unplanned] == 0 || now < f.barren[j.Index] || f.Steps-f.pass.began > arraySteps {
+	if j.In[jobs.Unplanned] == 0 || now < f.barren[j.Index] {
+		return
+	}
+	if f.Steps-f.pass.began > arraySteps {
+		f.note(j, verdict{cause: NotYet})
 		return
 	}
 	var tasks []int32
 	slice := min(planSlice, f.granted(j, j.Left())-j.In[jobs.Planned])
 	if slice <= 0 {
+		f.denied(j, 1)
 		return
 	}
+	retry := time.Duration(1 << 62)
 	for t := range j.Tasks {
-		if k := &j.Tasks[t]; k.State == jobs.Unplanned && k.Until <= now {
-			if tasks = append(tasks, int32(t)); len(tasks) == slice {
-				break
-			}
+		k := &j.Tasks[t]
+		if k.State != jobs.Unplanned {
+			continue
+		}
+		if k.Until > now {
+			retry = min(retry, k.Until)
+		} else if tasks = append(tasks, int32(t)); len(tasks) == slice {
+			break
 		}
 	}
 	if len(tasks) == 0 {
+		f.note(j, verdict{cause: Retry, until: retry})
 		return
 	}
 	p := &planner.Problem{Local: f.estimate(j)}
@@ -378,9 +389,11 @@
 	}
 	if len(lane) == 0 {
 		f.barren[j.Index] = now + 500*time.Millisecond
+		f.note(j, verdict{cause: NoMachine})
 		return
 	}
 	delete(f.barren, j.Index)
+	f.note(j, verdict{cause: NotYet}) // the rest, if a pass takes only a part
 	f.Steps += uint64(4 * len(lane))
 	// A loop looks at every lane, so many lanes allow fewer loops.
 	p.MaxLoop = min(reduceLoop, max(16, reduceWork/len(lane)))
@@ -616,21 +629,29 @@
 // first so that lower ranks don't keep taking what frees up.
 func (f *Fleet) placeGang(now time.Duration, j *jobs.Job) {
 	if j.In[jobs.Unplanned] < j.N {
+		f.note(j, verdict{cause: Leaving})
 		return // still here, finished, or some of it not gone yet
 	}
 	for t := range j.Tasks {
-		if j.Tasks[t].Until > now {
+		if k := &j.Tasks[t]; k.Until > now {
+			f.note(j, verdict{cause: Retry, until: k.Until})
 			return
 		}
 	}
 	if !f.mayStart(j, j.N) {
+		f.denied(j, j.N)
 		return
 	}
 	fd := f.field(now, j)
-	if len(fd.ps) == 0 || f.placeIn(now, j, fd) {
+	if len(fd.ps) == 0 {
+		f.note(j, verdict{cause: NoMachine})
+		return
+	}
+	if f.placeIn(now, j, fd) {
 		return
 	}
 	zone, start := f.soonest(j, fd)
+	f.note(j, verdict{cause: GangShort, need: j.N, have: len(fd.open), start: start})
 	if start > f.canWait(now, j) && f.preemptFor(now, j, fd.ps, start) {
 		return
 	}
@@ -706,7 +727,11 @@
 	fd, i := f.field(now, j), 0
 	for t := range j.Tasks {
 		k := &j.Tasks[t]
-		if k.State != jobs.Unplanned || k.Until > now {
+		if k.State != jobs.Unplanned {
+			continue
+		}
+		if k.Until > now {
+			f.note(j, verdict{cause: Retry, until: k.Until})
 			continue
 		}
 		for ; i < len(fd.ps); i++ {
@@ -714,7 +739,12 @@
 				break
 			}
 		}
-		if i == len(fd.ps) || !f.mayStart(j, 1) || j.In[jobs.Planned] >= f.granted(j, j.N) {
+		if !f.mayStart(j, 1) || j.In[jobs.Planned] >= f.granted(j, j.N) {
+			f.denied(j, 1)
+			return
+		}
+		if i == len(fd.ps) {
+			f.note(j, verdict{cause: NoRoom})
 			return
 		}
 		f.plan(now, j, int32(t), fd.ps[i].m)
--- /dev/null
+++ b/internal/fleet/why.go
@@ -0,0 +1,186 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/admission"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/licences"
+)
+
+// Cause is why some of a job's tasks wait. It is noted where planning decides; who asks is told
+// what was decided and nothing guessed anew.
+type Cause string
+
+// The causes.
+const (
+	TeamLimit  Cause = "team_limit"       // its team may use no more
+	Licence    Cause = "licence"          // a seat of a licence is missing
+	NoMachine  Cause = "no_machine"       // no machine that is up may take it
+	GangShort  Cause = "gang_short"       // too few machines have room for a gang at once
+	NoRoom     Cause = "no_room"          // no machine that may take a replica has room
+	Retry      Cause = "retry"            // it failed, and is tried again later
+	Parked     Cause = "parked"           // a session that was reclaimed
+	NotYet     Cause = "planning_behind"  // planning has not come to it yet
+	Lane       Cause = "lane"             // planned on machines that are busy now
+	NotDurable Cause = "plan_not_durable" // its plan is being written
+	Leaving    Cause = "gang_leaving"     // the rest of its gang must be gone first
+	Arriving   Cause = "starting"         // sent to its machine, not running yet
+)
+
+// verdict is what planning last decided about a job's unplanned tasks.
+type verdict struct {
+	cause      Cause
+	denial     admission.Denial
+	have, need int           // machines with room, and tasks, of a gang
+	until      time.Duration // Retry: not before
+	start      float64       // seconds until it could start, as estimated; 0: unknown
+}
+
+// note keeps what planning decided about a job.
+func (f *Fleet) note(j *jobs.Job, v verdict) { f.verdicts[j.Index] = v }
+
+// denied notes that the gate, or the seats handed out in this pass, keep a job from starting n
+// tasks together.
+func (f *Fleet) denied(j *jobs.Job, n int) {
+	if d := f.Gate.Ask(claimOf(j), n); d.TeamLimit {
+		f.note(j, verdict{cause: TeamLimit, denial: d})
+		return
+	}
+	g := f.grants[j.Index]
+	f.note(j, verdict{cause: Licence, denial: admission.Denial{Seat: g.Why, Pool: g.Pool}})
+}
+
+// Part is some of a job's tasks and why they wait.
+type Part struct {
+	Tasks int    `json:"tasks"`
+	Why   Cause  `json:"why"`
+	Text  string `json:"text"`
+}
+
+// Why says why each part of a job waits.
+func (f *Fleet) Why(now time.Duration, j *jobs.Job) []Part {
+	var parts []Part
+	add := func(n int, c Cause, format string, a ...any) {
+		if n > 0 {
+			parts = append(parts, Part{n, c, fmt.Sprintf(format, a...)})
+		}
+	}
+	if j.Tasks == nil || j.Stance.Terminal() {
+		return parts
+	}
+	if j.Parked {
+		add(j.Left(), Parked, "its session was reclaimed; it resumes when its user attaches")
+		return parts
+	}
+	f.unplannedWhy(now, j, add)
+	f.plannedWhy(now, j, add)
+	arriving := 0
+	for t := range j.Tasks {
+		if k := &j.Tasks[t]; k.State == jobs.Launched || k.State == jobs.Recovered || (k.State == jobs.OnMachine && k.Phase < jobs.Running) {
+			arriving++
+		}
+	}
+	add(arriving, Arriving, "sent to their machines: they start, fetch their image, or wait for the rest of their gang")
+	return parts
+}
+
+func (f *Fleet) unplannedWhy(now time.Duration, j *jobs.Job, add func(int, Cause, string, ...any)) {
+	n := j.In[jobs.Unplanned]
+	v, known := f.verdicts[j.Index]
+	if n == 0 {
+		return
+	}
+	if !known {
+		v.cause = NotYet
+	}
+	s := j.Spec.Size()
+	switch v.cause {
+	case TeamLimit:
+		t := f.Gate.Quota.Team(j.Team)
+		add(n, v.cause, "team %s uses %s, and each task needs %s: that is beyond the team's limit of %s", j.Spec.Team, amount(t.Used.CPUs, t.Used.GPUs),
+			amount(s.CPUs, s.GPUs), amount(t.Limit.CPUs, t.Limit.GPUs))
+	case Licence:
+		pool := "a pool that is not declared here"
+		if ps := f.Book.Door.Pools.Pools(); v.denial.Pool >= 0 && int(v.denial.Pool) < len(ps) {
+			pool = ps[v.denial.Pool].Name
+		}
+		add(n, v.cause, "licence %s: %s", pool, v.denial.Seat)
+	case NoMachine:
+		add(n, v.cause, "no machine that is up may take it (%s, %g GB for each task)", amount(s.CPUs, s.GPUs), s.Mem)
+	case Leaving:
+		add(n, v.cause, "the rest of its gang is still on machines, and has to be gone before it starts anew")
+	case GangShort:
+		if v.need == 1 {
+			add(n, v.cause, "no machine that may take it has room now%s", soon(v.start))
+			break
+		}
+		add(n, v.cause, "a gang of %d tasks needs as many places at once; %d machines have room now%s", v.need, v.have, soon(v.start))
+	case NoRoom:
+		add(n, v.cause, "no machine that may take a replica has room")
+	case Retry:
+		add(n, v.cause, "a task failed; the next try comes in %s", max(0, v.until-now).Round(time.Second))
+	default:
+		add(n, NotYet, "planning has not come to it yet")
+	}
+}
+
+func (f *Fleet) plannedWhy(now time.Duration, j *jobs.Job, add func(int, Cause, string, ...any)) {
+	writing, lanes := 0, 0
+	soonest := 1e9
+	for t := range j.Tasks {
+		k := &j.Tasks[t]
+		switch {
+		case k.State != jobs.Planned:
+		case !j.IsDurable(int32(t)):
+			writing++
+		default:
+			lanes++
+			if m := f.machines[k.Machine]; soonest > 0 {
+				if f.fits(m, j) {
+					soonest = 0
+				} else {
+					soonest = min(soonest, f.freeIn(now, m, j))
+				}
+			}
+		}
+	}
+	add(writing, NotDurable, "planned; the plan is being written, and nothing starts before it is")
+	switch d := f.Gate.Ask(claimOf(j), 1); {
+	case d.TeamLimit:
+		add(lanes, TeamLimit, "planned, but team %s is at its limit", j.Spec.Team)
+	case d.Seat != licences.Granted:
+		add(lanes, Licence, "planned, but %s", d.Seat)
+	default:
+		add(lanes, Lane, "planned on %d machines, in the lanes of what is there now%s", len(f.spread[j.Index]), soon(soonest))
+	}
+}
+
+func soon(s float64) string {
+	if s <= 0 || s >= 1e5 {
+		return ""
+	}
+	return fmt.Sprintf("; room is expected in %s", (time.Duration(s) * time.Second).String())
+}
+
+func amount(cpus, gpus float64) string {
+	if gpus > 0 && gpus < 1e9 {
+		return fmt.Sprintf("%g cores and %g GPUs", cpus, gpus)
+	}
+	return fmt.Sprintf("%g cores", cpus)
+}
+
+// Ahead names the jobs that rank before one and have tasks that wait, the nearest first, at most
+// most; and how many there are.
+func (f *Fleet) Ahead(j *jobs.Job, most int) (ids []string, n int) {
+	at := f.rankOf(j)
+	for i := min(at, len(f.order)) - 1; i >= 0; i-- {
+		if o := f.order[i]; o.Left() > 0 && !o.Parked {
+			if n++; len(ids) < most {
+				ids = append(ids, o.ID)
+			}
+		}
+	}
+	return ids, n
+}
--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -21,7 +21,7 @@
 	Intake           *Intake
 	Up               func() bool
 	Report           func(now time.Duration, r *fleet.Report, reply func(Reply))
-	// Leader answers what only the leader can; nil: there is nothing of the kind.
+	// Leader answers what only the leader can.
 	Leader *Leader
 	// MaxConns bounds open connections.
 	MaxConns int
@@ -85,9 +85,7 @@
 		}
 		return r.ask(c, r.PostReport, workerWait, func(reply func(Reply)) { r.Report(r.Now(), rep, reply) })
 	})
-	if r.Leader != nil {
-		r.leader(app)
-	}
+	r.leader(app)
 	return app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 }
 
--- a/internal/intake/operator.go
+++ b/internal/intake/operator.go
@@ -9,9 +9,10 @@
 	"github.com/gofiber/fiber/v3"
 )
 
-// Call is a request that only the leader can answer: about licences, or about sessions.
+// Call is a request that only the leader can answer: why a job waits, about licences, or about
+// sessions.
 type Call struct {
-	What   string // "licences" or "sessions"
+	What   string // "why", "licences" or "sessions"
 	Name   string // of the one it is about; "": all
 	Verb   string // what is asked: "show", or the last part of the path
 	Body   []byte // of a command
@@ -65,6 +66,7 @@
 	on := func(what, verb string) fiber.Handler {
 		return func(c fiber.Ctx) error { return ask(c, what, verb) }
 	}
+	app.Get("/v2/runs/:name/why", on("why", "show"))
 	if l.Licences {
 		app.Get("/v2/licences", on("licences", "show"))
 		app.Get("/v2/licences/:name", on("licences", "show"))
