--- a/cmd/harewalk/daemon_world_test.go
+++ b/cmd/harewalk/daemon_world_test.go
@@ -5,7 +5,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -16,6 +19,7 @@
 	"time"
 
 	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/controller"
 	"github.com/harewalk/harewalk/internal/jobs"
 	"github.com/harewalk/harewalk/internal/world"
 )
@@ -311,3 +315,47 @@
 		t.Error(b)
 	}
 }
+
+// Figures are served on an address of their own, by every controller; only the leader tells of
+// machines and seats.
+func TestMetrics(t *testing.T) {
+	w, err := world.New(world.Config{Seed: 25, Machines: 2, Pools: map[string]int{"transcribe": 24, "optimise": 8}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	_ = l.Close()
+	file := filepath.Join(t.TempDir(), "o.hcl")
+	if err := os.WriteFile(file, []byte(fmt.Sprintf("debug_addr = %q\n", addr)+fmt.Sprintf(pools, w.Licences.Addr)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := config.Parse(w.Settings(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.LoadOperator(file); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = controller.New(s).Run() }()
+	get := func(path string) string {
+		r, err := http.Get("http://" + addr + path)
+		if err != nil {
+			return ""
+		}
+		defer func() { _ = r.Body.Close() }()
+		raw, _ := io.ReadAll(r.Body)
+		return string(raw)
+	}
+	for _, want := range []string{"harewalk_leading 1", `harewalk_licence_seats{pool="transcribe",what="count"} 24`, `harewalk_machines{condition="acting"}`,
+		`harewalk_tasks{state="on machine"} 0`, "go_goroutines"} {
+		until(t, want, func() bool { return strings.Contains(get("/metrics"), want) })
+	}
+	if !strings.Contains(get("/debug/pprof/"), "goroutine") {
+		t.Error("no profiles")
+	}
+}
--- a/cmd/harewalk/main.go
+++ b/cmd/harewalk/main.go
@@ -82,7 +82,7 @@
 		Long: "Run one controller. It keeps nothing on disk and may be ended at any time.\n" +
 			"SIGTERM drains it: it takes no new submissions, hands the lead over at once, answers what it was asked and\n" +
 			"ends with exit code 0 within ten seconds. A second signal ends it at once, with exit code 1.\n" +
-			"LOG_LEVEL sets what goes to standard error: error, info (default) or debug.",
+			"LOG_LEVEL sets what goes to standard error: error, info (default) or debug; LOG_FORMAT how: text or json.",
 		Example: "  harewalk serve --config /etc/harewalk/settings.json --operator /etc/harewalk/operator.hcl",
 		RunE: func(*cobra.Command, []string) error {
 			if err := logTo(os.Stderr, os.Getenv("LOG_LEVEL")); err != nil {
@@ -134,7 +134,15 @@
 	default:
 		return fmt.Errorf("LOG_LEVEL %q is none of error, info, debug", level)
 	}
-	slog.SetDefault(slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: l})))
+	o := &slog.HandlerOptions{Level: l}
+	switch format := os.Getenv("LOG_FORMAT"); format {
+	case "", "text":
+		slog.SetDefault(slog.New(slog.NewTextHandler(w, o)))
+	case "json":
+		slog.SetDefault(slog.New(slog.NewJSONHandler(w, o)))
+	default:
+		return fmt.Errorf("LOG_FORMAT %q is neither text nor json", format)
+	}
 	return nil
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -167,6 +167,9 @@
 	// OperatorTokenFile holds the token that operators' commands must carry, one line. Without
 	// it they are taken from the controller's own machine only.
 	OperatorTokenFile string `hcl:"operator_token_file,optional"`
+	// DebugAddr serves /metrics and /debug/pprof, "" for nowhere. Whoever reaches it can read
+	// profiles: an address of this machine alone, unless somebody else guards it.
+	DebugAddr string `hcl:"debug_addr,optional" validate:"omitempty,hostport"`
 	// Licences are the pools of counted licences.
 	Licences []LicencePool `hcl:"licence,block" validate:"dive"`
 	// Sessions switch interactive sessions on.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -164,6 +164,11 @@
 	if err != nil {
 		return fmt.Errorf("setting \"back\": %w", err)
 	}
+	if addr := c.s.Operator.DebugAddr; addr != "" {
+		if err := c.observe(addr); err != nil {
+			return err
+		}
+	}
 	for _, p := range c.s.Peers {
 		c.links = append(c.links, peers.NewLink(p.Addr))
 	}
--- /dev/null
+++ b/internal/controller/metrics.go
@@ -0,0 +1,149 @@
+package controller
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/harewalk/harewalk/internal/fleet"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/membership"
+)
+
+// scrapeWait bounds how long a scrape waits for the event loop.
+const scrapeWait = 2 * time.Second
+
+// metric is one figure, described once.
+type metric struct {
+	desc   *prometheus.Desc
+	value  float64
+	labels []string
+}
+
+func desc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("harewalk_"+name, help, labels, nil)
+}
+
+// What is told. Names keep their meaning between versions.
+var (
+	upDesc       = desc("up", "1 if this controller passes its health check.")
+	leadingDesc  = desc("leading", "1 if this controller leads and has the authority to act.")
+	termDesc     = desc("term", "The term of the leader, as last seen.")
+	stateDesc    = desc("state_answer_age_seconds", "Since when the state service has not carried out a request of ours.")
+	lagDesc      = desc("loop_wait_seconds", "How long this scrape waited for the event loop.")
+	jobsDesc     = desc("jobs", "Jobs that are not over.")
+	tasksDesc    = desc("tasks", "Tasks of those jobs by state; only the leader tells.", "state")
+	machinesDesc = desc("machines", "Machines by condition; only the leader tells.", "condition")
+	coresDesc    = desc("cores", "Cores of machines that act, and what is in use.", "what")
+	gpusDesc     = desc("gpus", "Accelerators of machines that act, and what is in use.", "what")
+	seatsDesc    = desc("licence_seats", "Seats of each licence pool.", "pool", "what")
+	sessionsDesc = desc("sessions", "Sessions by state.", "state")
+)
+
+// collector takes a picture of the controller on its event loop for each scrape.
+type collector struct{ c *Controller }
+
+// Describe implements prometheus.Collector: the set of figures depends on who leads.
+func (collector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect implements prometheus.Collector.
+func (k collector) Collect(out chan<- prometheus.Metric) {
+	asked := k.c.loop.Now()
+	got := make(chan []metric, 1)
+	if !k.c.loop.Offer(func() { got <- k.c.figures(k.c.loop.Now(), asked) }) {
+		return
+	}
+	t := time.NewTimer(scrapeWait)
+	defer t.Stop()
+	select {
+	case ms := <-got:
+		for _, m := range ms {
+			out <- prometheus.MustNewConstMetric(m.desc, prometheus.GaugeValue, m.value, m.labels...)
+		}
+	case <-t.C:
+	}
+}
+
+func one(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// figures is what is told now.
+func (c *Controller) figures(now, asked time.Duration) (ms []metric) {
+	add := func(d *prometheus.Desc, v float64, labels ...string) { ms = append(ms, metric{d, v, labels}) }
+	live := 0
+	c.book.Live(func(*jobs.Job) { live++ })
+	add(upDesc, one(c.up()))
+	add(leadingDesc, one(c.mem.State() == membership.Leading && c.mem.Authority(now)))
+	add(termDesc, float64(c.mem.Leader().Term))
+	add(stateDesc, (now - c.store.LastOK()).Seconds())
+	add(lagDesc, (now - asked).Seconds())
+	add(jobsDesc, float64(live))
+	if c.fleet == nil || !c.fleet.Loaded() {
+		return ms
+	}
+	tasks := map[jobs.State]int{}
+	c.book.Live(func(j *jobs.Job) {
+		for s, n := range j.In {
+			tasks[jobs.State(s)] += n
+		}
+	})
+	for s := jobs.Unplanned; s <= jobs.Finished; s++ {
+		add(tasksDesc, float64(tasks[s]), s.String())
+	}
+	machines := map[fleet.Condition]int{}
+	var cores, coresUsed, gpus, gpusUsed float64
+	for _, m := range c.fleet.Machines() {
+		machines[m.Condition]++
+		if m.Condition == fleet.Acting {
+			cores, gpus = cores+m.Size.CPUs, gpus+m.Size.GPUs
+			coresUsed, gpusUsed = coresUsed+m.Use.CPUs, gpusUsed+m.Use.GPUs
+		}
+	}
+	for k := fleet.Known; k <= fleet.Gone; k++ {
+		add(machinesDesc, float64(machines[k]), k.String())
+	}
+	add(coresDesc, cores, "there")
+	add(coresDesc, coresUsed, "used")
+	add(gpusDesc, gpus, "there")
+	add(gpusDesc, gpusUsed, "used")
+	for ix, p := range c.pools.Pools() {
+		v := c.fleet.Gate.Seats.Show(now, int32(ix), c.book.Door.Teams.Name)
+		for what, n := range map[string]int{"count": v.Count, "held": v.Held + v.Booked, "lingering": v.Lingering, "others": v.Others, "free": v.Free} {
+			add(seatsDesc, float64(n), p.Name, what)
+		}
+	}
+	if c.sess != nil {
+		for state, n := range c.sess.Count() {
+			add(sessionsDesc, float64(n), state)
+		}
+	}
+	return ms
+}
+
+// observe serves /metrics and /debug/pprof on an address of their own until the process ends.
+func (c *Controller) observe(addr string) error {
+	ln, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return fmt.Errorf("setting \"debug_addr\": %w", err)
+	}
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collector{c}, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{MaxRequestsInFlight: 2, Timeout: 2 * scrapeWait}))
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = s.Serve(ln) }()
+	return nil
+}
--- a/internal/sessions/users.go
+++ b/internal/sessions/users.go
@@ -256,6 +256,15 @@
 	return out
 }
 
+// Count counts the sessions by state.
+func (m *Manager) Count() map[string]int {
+	n := map[string]int{}
+	for _, s := range m.byID {
+		n[s.state.String()]++
+	}
+	return n
+}
+
 // Show shows one session.
 func (m *Manager) Show(now time.Duration, id string) (View, bool) {
 	s := m.byID[id]
