Operators drain controllers and machines; the last two can't both go

Need: maintenance without surprises. internal/operate keeps what operators want in one durable document; commands change it by transaction and carry the revision they are based on. A drained controller hands its lead over and stays; a drained machine starts nothing new and is given back when it is empty, or has its tasks stopped with time to save. harewalk admin status, drain, undrain.

--- /dev/null
+++ b/cmd/harewalk/admin.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"github.com/harewalk/harewalk/internal/controller"
+)
+
+func adminCmd() *cobra.Command {
+	var o operator
+	c := &cobra.Command{Use: "admin", Short: "Look at a cluster and drain its controllers and machines",
+		Long: "Commands change one durable document, which every controller follows. With --revision (from `admin status`) a\n" +
+			"command is refused (exit 3) if somebody changed it since; the answer says who, and what."}
+	o.flags(c)
+	c.AddCommand(
+		&cobra.Command{
+			Use: "status", Short: "Show controllers, machines that are being drained, and the revision", Args: cobra.NoArgs,
+			RunE: func(c *cobra.Command, _ []string) error {
+				var s controller.Status
+				if err := o.ask("GET", "/v2/admin", nil, &s); err != nil {
+					return err
+				}
+				return o.show(c.OutOrStdout(), s, func(t *tabwriter.Writer) { showStatus(t, s) })
+			},
+		},
+		adminAct(&o, "drain", "Drain a controller, or a machine, which is then given back",
+			"A drained controller hands its lead over, takes no users and stays until it is undrained; the last one that could\n"+
+				"serve can't be drained. On a drained machine nothing new starts; when it is empty it is given back to the cloud.",
+			"  harewalk admin drain node burrow-2\n  harewalk admin drain machine i-000231 --stop"),
+		adminAct(&o, "undrain", "Let a controller or a machine take part again", "", "  harewalk admin undrain node burrow-2"))
+	return c
+}
+
+func adminAct(o *operator, op, short, long, example string) *cobra.Command {
+	var stop bool
+	var revision int64
+	c := &cobra.Command{
+		Use: op + " node|machine NAME", Short: short, Long: long, Example: example, Args: cobra.ExactArgs(2),
+		ValidArgs: []string{"node", "machine"},
+		RunE: func(c *cobra.Command, args []string) error {
+			if args[0] != "node" && args[0] != "machine" {
+				return coded{exitUsage, fmt.Errorf("%q is neither node nor machine", args[0])}
+			}
+			body := map[string]any{"op": op, "kind": args[0], "name": args[1], "by": whoami(), "stop": stop}
+			if revision >= 0 {
+				body["revision"] = revision
+			}
+			var s controller.Status
+			if err := o.ask("POST", "/v2/admin", body, &s); err != nil {
+				return err
+			}
+			return o.show(c.OutOrStdout(), s, func(t *tabwriter.Writer) { showStatus(t, s) })
+		},
+	}
+	c.Flags().Int64Var(&revision, "revision", -1, "refuse the command unless this is still the revision")
+	if op == "drain" {
+		c.Flags().BoolVar(&stop, "stop", false, "stop a machine's tasks, with time to save, instead of waiting for their end")
+	}
+	return c
+}
+
+func showStatus(t *tabwriter.Writer, s controller.Status) {
+	last := ""
+	if s.Last != "" {
+		last = " (" + s.Last + ")"
+	}
+	fmt.Fprintf(t, "revision\t%d%s\nterm\t%d\njobs\t%d\n", s.Revision, last, s.Term, s.Jobs)
+	for _, n := range s.Nodes {
+		what := "alive"
+		switch {
+		case n.Drained && n.By != "":
+			what = "drained by " + n.By
+		case n.Drained:
+			what = "drained"
+		case n.Leads:
+			what = "leads"
+		case !n.Alive:
+			what = "not heard, or without the state service"
+		}
+		fmt.Fprintf(t, "controller %s\t%s\n", n.Node, what)
+	}
+	for _, k := range []string{"known", "acting", "noticed", "lost"} {
+		if s.Machines[k] > 0 {
+			fmt.Fprintf(t, "machines %s\t%d\n", k, s.Machines[k])
+		}
+	}
+	for _, m := range s.Draining {
+		fmt.Fprintf(t, "draining %s\t%s, %d tasks left, for %s\n", m.Machine, m.State, m.Tasks, orSomebody(m.By))
+	}
+}
--- a/cmd/harewalk/daemon_world_test.go
+++ b/cmd/harewalk/daemon_world_test.go
@@ -359,3 +359,97 @@
 		t.Error("no profiles")
 	}
 }
+
+// Operators drain a controller and a machine, through any controller. Of two who drain the same last two
+// controllers one is told that nobody would be left, or of the other's command; and what is undrained serves
+// again.
+func TestOperatorsDrain(t *testing.T) {
+	w, err := world.New(world.Config{Seed: 26, Machines: 4, Teams: []config.Team{{Name: "red"}, {Name: "blue"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	c := cluster(t, w, "")
+	u := w.Users(26)
+	long := plainJob(1, 20, 600)
+	long.CheckpointS, long.SaveS = 1, 0.2
+	if status := u.Submit(long); status != 201 {
+		t.Fatalf("status %d", status)
+	}
+	until(t, "all run", func() bool { return w.Stats().Starts >= 20 })
+	admin := func(want int, args ...string) string {
+		t.Helper()
+		out, code := command(t, append(append([]string{"admin"}, args...), "--server", w.Public(0))...)
+		if code != want {
+			t.Fatalf("admin %v: exit %d, want %d: %s", args, code, want, out)
+		}
+		return out
+	}
+	status := func() (s controller.Status) {
+		t.Helper()
+		if err := json.Unmarshal([]byte(admin(0, "status", "-o", "json")), &s); err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	until(t, "all controllers are heard", func() bool {
+		for _, n := range status().Nodes {
+			if !n.Alive {
+				return false
+			}
+		}
+		return true
+	})
+	was := status()
+	machine := w.Busiest()
+	admin(0, "drain", "machine", machine, "--stop", "--revision", fmt.Sprint(was.Revision))
+	if out := admin(3, "drain", "machine", machine, "--revision", fmt.Sprint(was.Revision)); !strings.Contains(out, "drain machine "+machine) {
+		t.Fatalf("of two conflicting commands the second is told: %s", out)
+	}
+	until(t, "given back", func() bool { return w.Returned(machine) })
+	until(t, "its tasks run elsewhere", func() bool {
+		out, _ := command(t, "job", "why", long.ID, "-o", "json", "--server", w.Public(2))
+		return strings.Contains(out, `"running": 20`)
+	})
+	leader, term := w.Leader()
+	admin(0, "drain", "node", fmt.Sprintf("node-%d", leader))
+	until(t, "another leads", func() bool { l, now := w.Leader(); return l >= 0 && l != leader && now > term })
+	until(t, "out of service", func() bool {
+		s, _, _, err := once("GET", "http://"+w.Public(leader)+"/up", nil)
+		return err == nil && s == 503
+	})
+	second, _ := w.Leader()
+	third := 3 - leader - second
+	var wait sync.WaitGroup
+	var codes [2]int
+	var outs [2]string
+	for k, i := range []int{second, third} {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			outs[k], codes[k] = command(t, "admin", "drain", "node", fmt.Sprintf("node-%d", i), "--server", w.Public(third))
+		}()
+	}
+	wait.Wait()
+	if codes[0]+codes[1] != 3 || codes[0]*codes[1] != 0 || !(strings.Contains(outs[0]+outs[1], "nobody would be left") || strings.Contains(outs[0]+outs[1], "changed meanwhile")) {
+		t.Fatalf("exit codes %v: %v", codes, outs)
+	}
+	until(t, "somebody leads", func() bool { l, _ := w.Leader(); return l >= 0 && l != leader })
+	for i := range 3 {
+		admin(0, "undrain", "node", fmt.Sprintf("node-%d", i))
+	}
+	for i := range 3 {
+		if err := c.Ready(i, 20*time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	admin(2, "drain", "node", "node-9")
+	admin(2, "drain", "zone", "a")
+	if code := c.Signal(leader, syscall.SIGTERM, drainWait); code != 0 {
+		t.Fatalf("exit code %d of one that was drained before", code)
+	}
+	u.Cancel(long.ID)
+	for _, b := range w.Broken() {
+		t.Error(b)
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -21,6 +21,7 @@
 	"github.com/harewalk/harewalk/internal/jobs"
 	"github.com/harewalk/harewalk/internal/licences"
 	"github.com/harewalk/harewalk/internal/membership"
+	"github.com/harewalk/harewalk/internal/operate"
 	"github.com/harewalk/harewalk/internal/peers"
 	"github.com/harewalk/harewalk/internal/quota"
 	"github.com/harewalk/harewalk/internal/sessions"
@@ -90,8 +91,13 @@
 	life   Life
 	lifeAt time.Duration
 	calm   time.Duration // since when nothing was under way while leaving
+	parks  bool          // operators want it drained: it stays instead of ending
 	ended  chan struct{}
 
+	wishes    operate.Wishes
+	wishesVer uint64
+	sweptAt   time.Duration // of marks of machines that are gone
+
 	summary  time.Duration
 	links    []*peers.Link
 	status   map[string]heard
@@ -131,6 +137,9 @@
 	c.mir.OnDrop = func(k string, v uint64) {
 		c.mem.Drop(c.loop.Now(), k, v)
 		c.pools.Drop(k, v)
+		if k == operate.Key {
+			c.wished(nil, v)
+		}
 	}
 	c.mir.OnReset = func(items []store.Item) {
 		c.mem.Reset(c.loop.Now(), items)
@@ -208,6 +217,8 @@
 		reply(intake.Refuse(503, "the leader may not act now"))
 	case q.What == "why":
 		c.whyCall(now, q, reply)
+	case q.What == "admin":
+		c.adminCall(now, q, reply)
 	case q.What == "licences":
 		c.licenceCall(now, q, reply)
 	default:
@@ -222,6 +233,8 @@
 		c.learned(now, it)
 	case strings.HasPrefix(it.Key, licences.Prefix):
 		c.counted(it)
+	case it.Key == operate.Key:
+		c.wished(it.Value, it.Version)
 	case it.Key == typesKey:
 		if types, err := capacity.ParseTypes(it.Value); err == nil && it.Version > c.typesVer {
 			c.typesVer = it.Version
@@ -429,6 +442,7 @@
 	if c.life != Serving {
 		c.drain(now)
 	}
+	c.operate(now)
 	if c.fleet == nil {
 		return
 	}
--- a/internal/controller/drain.go
+++ b/internal/controller/drain.go
@@ -14,14 +14,20 @@
 //	Serving   -> Leaving   told to drain while another leads
 //	Flushing  -> Leaving   its writes are settled, or took too long: the lead is given up at once
 //	Leaving   -> Ended     what was asked is answered and another leads, or it takes too long
+//	Leaving   -> Parked    the same, where operators want it drained: it stays, and does nothing
+//	Parked    -> Serving   they want it back
+//	Parked    -> Ended     it is told to end
 const (
 	Serving Life = iota
 	Flushing
 	Leaving
 	Ended
+	Parked
 )
 
-func (l Life) String() string { return [...]string{"serving", "flushing", "leaving", "ended"}[l] }
+func (l Life) String() string {
+	return [...]string{"serving", "flushing", "leaving", "ended", "parked"}[l]
+}
 
 // Bounds of a drain.
 const (
@@ -37,19 +43,36 @@
 // is closed when it may end, which is within a few seconds.
 func (c *Controller) Drain() <-chan struct{} {
 	c.loop.Post(func() {
-		if c.life == Serving {
-			c.in.Drain()
-			if c.fleet != nil {
-				c.fleet.Hold()
-				c.turn(c.loop.Now(), Flushing, "told to drain")
-			} else {
-				c.leave(c.loop.Now(), "told to drain")
-			}
+		c.parks = false
+		switch now := c.loop.Now(); c.life {
+		case Serving:
+			c.startDrain(now, "told to drain")
+		case Parked:
+			c.turn(now, Ended, "it was drained before")
 		}
 	})
 	return c.ended
 }
 
+func (c *Controller) startDrain(now time.Duration, cause string) {
+	c.in.Drain()
+	if c.fleet == nil {
+		c.leave(now, cause)
+		return
+	}
+	c.fleet.Hold()
+	c.turn(now, Flushing, cause)
+}
+
+// over ends a drain, or leaves the controller where operators want it.
+func (c *Controller) over(now time.Duration, cause string) {
+	if c.parks {
+		c.turn(now, Parked, cause)
+		return
+	}
+	c.turn(now, Ended, cause)
+}
+
 // turn is the only place where the life's state changes.
 func (c *Controller) turn(now time.Duration, to Life, cause string) {
 	slog.Info("drain", "from", c.life.String(), "to", to.String(), "cause", cause)
@@ -85,9 +108,9 @@
 		led := c.mem.Leader().Node != "" && c.mem.Leader().Node != c.s.Node
 		switch {
 		case now-c.calm > calmFor && (led || len(c.s.Peers) == 0):
-			c.turn(now, Ended, "all is answered and another leads")
+			c.over(now, "all is answered and another leads")
 		case now-c.lifeAt > leaveFor:
-			c.turn(now, Ended, "it takes too long")
+			c.over(now, "it takes too long")
 		}
 	}
 }
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -70,6 +70,12 @@
 	}
 }
 
+// liveJobs is the number of jobs that are not over.
+func (c *Controller) liveJobs() (n int) {
+	c.book.Live(func(*jobs.Job) { n++ })
+	return n
+}
+
 func one(b bool) float64 {
 	if b {
 		return 1
@@ -80,14 +86,12 @@
 // figures is what is told now.
 func (c *Controller) figures(now, asked time.Duration) (ms []metric) {
 	add := func(d *prometheus.Desc, v float64, labels ...string) { ms = append(ms, metric{d, v, labels}) }
-	live := 0
-	c.book.Live(func(*jobs.Job) { live++ })
 	add(upDesc, one(c.up()))
 	add(leadingDesc, one(c.mem.State() == membership.Leading && c.mem.Authority(now)))
 	add(termDesc, float64(c.mem.Leader().Term))
 	add(stateDesc, (now - c.store.LastOK()).Seconds())
 	add(lagDesc, (now - asked).Seconds())
-	add(jobsDesc, float64(live))
+	add(jobsDesc, float64(c.liveJobs()))
 	if c.fleet == nil || !c.fleet.Loaded() {
 		return ms
 	}
--- /dev/null
+++ b/internal/controller/operate.go
@@ -0,0 +1,191 @@
+package controller
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/fleet"
+	"github.com/harewalk/harewalk/internal/intake"
+	"github.com/harewalk/harewalk/internal/operate"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+// wished takes over the operators' document; an older version is ignored, raw nil: it was dropped.
+func (c *Controller) wished(raw json.RawMessage, version uint64) {
+	if version <= c.wishesVer {
+		return
+	}
+	w := operate.Wishes{}
+	if raw != nil {
+		var err error
+		if w, err = operate.Parse(raw); err != nil {
+			slog.Error("the operators' wishes cannot be read", "cause", err)
+			return
+		}
+	}
+	c.wishes, c.wishesVer = w, version
+}
+
+// sweepEvery spaces the looks for marks of machines that are gone.
+const sweepEvery = 30 * time.Second
+
+// operate does what operators want: this controller drains or serves again; a leader drains
+// machines and forgets the marks of those that are gone.
+func (c *Controller) operate(now time.Duration) {
+	_, drained := c.wishes.Nodes[c.s.Node]
+	switch {
+	case drained && c.life == Serving:
+		c.parks = true
+		c.startDrain(now, "operators want it drained")
+	case !drained && c.life == Parked:
+		c.parks = false
+		c.in.Resume()
+		c.mem.Return(now)
+		c.turn(now, Serving, "operators want it back")
+	}
+	if c.fleet == nil || !c.fleet.Loaded() || (len(c.wishes.Machines) == 0 && !c.fleet.AnyDrained()) {
+		return
+	}
+	c.fleet.Drained(now, func(machine string) (on, stop bool, by string) {
+		m, ok := c.wishes.Machines[machine]
+		return ok, m.Stop, m.By
+	})
+	if now-c.sweptAt < sweepEvery || !c.mem.Authority(now) {
+		return
+	}
+	c.sweptAt = now
+	if w, any := c.wishes.Without(func(name string) bool {
+		m := c.fleet.Find(name)
+		return m != nil && m.Condition == fleet.Gone
+	}); any {
+		c.writeWishes(w, func(store.Result) {})
+	}
+}
+
+func (c *Controller) writeWishes(w operate.Wishes, done func(store.Result)) {
+	raw, _ := json.Marshal(w)
+	c.commit(store.Txn{If: []store.Cond{{Key: operate.Key, Version: c.wishesVer}}, Then: []store.Op{{Put: operate.Key, Value: raw}}}, store.Ordinary, func(r store.Result) {
+		if r.Outcome == store.Committed {
+			c.wished(raw, r.Revision)
+		}
+		done(r)
+	})
+}
+
+// Status is what operators are shown of a cluster.
+type Status struct {
+	Revision uint64          `json:"revision"` // of the wishes
+	Last     string          `json:"last,omitempty"`
+	Term     uint64          `json:"term"`
+	Nodes    []NodeStatus    `json:"nodes"`
+	Draining []MachineStatus `json:"draining"` // machines
+	Machines map[string]int  `json:"machines"` // by condition
+	Jobs     int             `json:"jobs"`
+}
+
+// NodeStatus is one controller as the leader sees it.
+type NodeStatus struct {
+	Node    string `json:"node"`
+	Leads   bool   `json:"leads"`
+	Alive   bool   `json:"alive"` // heard, and it reaches the state service
+	Drained bool   `json:"drained"`
+	By      string `json:"by,omitempty"`
+}
+
+// MachineStatus is one machine that is being drained.
+type MachineStatus struct {
+	Machine string `json:"machine"`
+	State   string `json:"stance"`
+	Tasks   int    `json:"tasks"` // that may still be on it
+	By      string `json:"by,omitempty"`
+}
+
+// heardFor is how long a controller's last status counts as its being alive.
+const heardFor = 3 * time.Second
+
+func (c *Controller) cluster(now time.Duration) operate.Cluster {
+	k := operate.Cluster{Nodes: []string{c.s.Node}, Alive: []string{c.s.Node},
+		Machine: func(name string) bool { m := c.fleet.Find(name); return m != nil && m.Condition != fleet.Gone }}
+	for _, p := range c.s.Peers {
+		k.Nodes = append(k.Nodes, p.Node)
+		if h, ok := c.status[p.Node]; ok && now-h.at < heardFor && h.StateOK {
+			k.Alive = append(k.Alive, p.Node)
+		}
+	}
+	slices.Sort(k.Nodes)
+	return k
+}
+
+// adminCall answers an operator: the cluster's status, or a command.
+func (c *Controller) adminCall(now time.Duration, q intake.Call, reply func(intake.Reply)) {
+	if q.Verb == "show" {
+		reply(intake.Reply{Status: 200, Body: c.adminStatus(now)})
+		return
+	}
+	var cmd operate.Command
+	if err := json.Unmarshal(q.Body, &cmd); err != nil {
+		reply(intake.Refuse(400, "not a command: "+err.Error()))
+		return
+	}
+	lost := func(by string) {
+		reply(intake.Refuse(409, fmt.Sprintf("something was changed meanwhile (%s): look at the status, and give the command again if it is still right", by)))
+	}
+	if cmd.Revision != nil && *cmd.Revision != c.wishesVer {
+		lost(c.wishes.Last)
+		return
+	}
+	cmd.AtMS = c.book.WallMS(now)
+	next, err := c.wishes.Apply(cmd, c.cluster(now))
+	switch {
+	case errors.Is(err, operate.ErrMalformed):
+		reply(intake.Refuse(400, err.Error()))
+		return
+	case errors.Is(err, operate.ErrUnknown):
+		reply(intake.Refuse(404, err.Error()))
+		return
+	case err != nil:
+		reply(intake.Refuse(409, err.Error()))
+		return
+	}
+	f := c.fleet
+	c.writeWishes(next, func(r store.Result) {
+		switch {
+		case c.fleet != f:
+			reply(intake.Refuse(503, "the lead was lost: look at the status before giving the command again"))
+		case r.Outcome == store.Committed:
+			slog.Info("operators' command", "op", cmd.Op, "kind", cmd.Kind, "name", cmd.Name, "by", cmd.By)
+			reply(intake.Reply{Status: 200, Body: c.adminStatus(c.loop.Now())})
+		case r.Outcome == store.Conflict:
+			lost("another command")
+		default:
+			reply(intake.Refuse(503, "it is not known whether the command was taken: look at the status before giving it again"))
+		}
+	})
+}
+
+func (c *Controller) adminStatus(now time.Duration) Status {
+	s := Status{Revision: c.wishesVer, Last: c.wishes.Last, Term: c.mem.Term(), Machines: map[string]int{}, Draining: []MachineStatus{}}
+	k := c.cluster(now)
+	for _, n := range k.Nodes {
+		m, drained := c.wishes.Nodes[n]
+		s.Nodes = append(s.Nodes, NodeStatus{Node: n, Leads: n == c.s.Node, Alive: slices.Contains(k.Alive, n), Drained: drained, By: m.By})
+	}
+	for _, m := range c.fleet.Machines() {
+		s.Machines[m.Condition.String()]++
+	}
+	for name, mark := range c.wishes.Machines {
+		v := MachineStatus{Machine: name, State: "unknown", By: mark.By}
+		if m := c.fleet.Find(name); m != nil {
+			v.State, v.Tasks = m.Condition.String(), len(m.On)
+		}
+		s.Draining = append(s.Draining, v)
+	}
+	slices.SortFunc(s.Draining, func(a, b MachineStatus) int { return strings.Compare(a.Machine, b.Machine) })
+	s.Jobs = c.liveJobs()
+	return s
+}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -67,6 +67,7 @@
 	NoticeAt     time.Duration // when the cloud takes it, if Noticed
 	IdleSince    time.Duration
 	Retiring     bool // we are giving it back
+	drained      bool // because operators want it
 
 	Size planner.Size
 	Use  planner.Size // by tasks that may be here
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -105,6 +105,9 @@
 // Drain refuses submissions from now on; what was taken is answered.
 func (n *Intake) Drain() { n.draining = true }
 
+// Resume takes submissions again.
+func (n *Intake) Resume() { n.draining = false }
+
 // Busy tells whether users wait for an answer.
 func (n *Intake) Busy() bool {
 	return n.submitting || n.checking || len(n.submits)+len(n.checks) > 0
--- a/internal/intake/operator.go
+++ b/internal/intake/operator.go
@@ -12,7 +12,7 @@
 // Call is a request that only the leader can answer: why a job waits, about licences, or about
 // sessions.
 type Call struct {
-	What   string // "why", "licences" or "sessions"
+	What   string // "why", "admin", "licences" or "sessions"
 	Name   string // of the one it is about; "": all
 	Verb   string // what is asked: "show", or the last part of the path
 	Body   []byte // of a command
@@ -66,16 +66,21 @@
 	on := func(what, verb string) fiber.Handler {
 		return func(c fiber.Ctx) error { return ask(c, what, verb) }
 	}
+	command := func(what, verb string) fiber.Handler {
+		return func(c fiber.Ctx) error {
+			if ok, why := l.may(bearer(c), c.IP()); !ok {
+				return send(c, refuse(403, why))
+			}
+			return ask(c, what, verb)
+		}
+	}
 	app.Get("/v2/runs/:name/why", on("why", "show"))
+	app.Get("/v2/admin", on("admin", "show"))
+	app.Post("/v2/admin", command("admin", "set"))
 	if l.Licences {
 		app.Get("/v2/licences", on("licences", "show"))
 		app.Get("/v2/licences/:name", on("licences", "show"))
-		app.Post("/v2/licences/:name", func(c fiber.Ctx) error {
-			if ok, why := l.may(bearer(c), c.IP()); !ok {
-				return send(c, refuse(403, why))
-			}
-			return ask(c, "licences", "set")
-		})
+		app.Post("/v2/licences/:name", command("licences", "set"))
 	}
 	if l.Sessions {
 		app.Get("/v2/sessions", on("sessions", "show"))
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -198,6 +198,13 @@
 	m.release(now)
 }
 
+// Return takes part again after a Leave. A hold that could not be ended runs out by itself.
+func (m *Membership) Return(now time.Duration) {
+	slog.Info("returning", "term", m.term.Term)
+	m.left, m.leaving, m.releasing, m.retried = false, 0, false, false
+	m.retryAt = now
+}
+
 // release ends the hold that was left, again until that is known to be done.
 func (m *Membership) release(now time.Duration) {
 	if m.leaving == 0 || m.releasing || now < m.retryAt && m.retried {
--- /dev/null
+++ b/internal/operate/operate.go
@@ -0,0 +1,132 @@
+// Package operate keeps what operators want of a running cluster: which controllers and machines
+// are to be drained. It is one durable document that every controller follows; commands change it
+// by transaction, so that of two that conflict one wins and the other is told by whom and what.
+// The package decides what a command makes of the document; it neither writes it nor acts on it.
+package operate
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Key is where the document stands.
+const Key = "h/o/wishes"
+
+// Mark says who wanted something, and since when.
+type Mark struct {
+	By   string `json:"by,omitempty"`
+	AtMS int64  `json:"at_ms"`
+	// Stop has a machine's tasks stopped, with time to save, instead of waiting for their end.
+	Stop bool `json:"stop,omitempty"`
+}
+
+// Wishes is the document: what is to be drained, by name. The zero value wants nothing.
+type Wishes struct {
+	Nodes    map[string]Mark `json:"nodes,omitempty"`
+	Machines map[string]Mark `json:"machines,omitempty"`
+	// Last says who changed it last, and what.
+	Last string `json:"last,omitempty"`
+}
+
+// Parse reads the document.
+func Parse(raw json.RawMessage) (Wishes, error) {
+	var w Wishes
+	err := json.Unmarshal(raw, &w)
+	return w, err
+}
+
+// Command is what an operator asks for.
+type Command struct {
+	Op   string `json:"op"`   // "drain" or "undrain"
+	Kind string `json:"kind"` // "node" or "machine"
+	Name string `json:"name"`
+	By   string `json:"by"`
+	Stop bool   `json:"stop"`
+	// Revision is the document's version that the command is based on; nil: any.
+	Revision *uint64 `json:"revision"`
+	AtMS     int64   `json:"-"`
+}
+
+// Cluster is what a command is judged by.
+type Cluster struct {
+	// Alive are the controllers that are heard and reach the state service; Nodes are all.
+	Alive, Nodes []string
+	Machine      func(name string) bool
+}
+
+// Reasons for refusing a command. Each is wrapped with what it is about.
+var (
+	ErrMalformed = errors.New("not a command")
+	ErrUnknown   = errors.New("no such thing")
+	ErrLast      = errors.New("nobody would be left")
+)
+
+// maxMachines bounds how many machines may be marked at once: the document has to fit a value.
+const maxMachines = 60
+
+// Apply is the document after a command. It refuses to drain the last controller that could serve,
+// and what is not known. A command that changes nothing gives the document back as it was.
+func (w Wishes) Apply(c Command, k Cluster) (Wishes, error) {
+	if (c.Op != "drain" && c.Op != "undrain") || (c.Kind != "node" && c.Kind != "machine") || c.Name == "" || len(c.Name) > 100 || len(c.By) > 100 {
+		return w, fmt.Errorf("%w: op must be drain or undrain, kind node or machine, and name and by at most 100 characters", ErrMalformed)
+	}
+	c.Stop = c.Stop && c.Kind == "machine"
+	out := Wishes{Nodes: maps.Clone(w.Nodes), Machines: maps.Clone(w.Machines), Last: w.Last}
+	at := &out.Machines
+	if c.Kind == "node" {
+		at = &out.Nodes
+	}
+	was, marked := (*at)[c.Name]
+	if c.Op == "undrain" {
+		if !marked {
+			return w, nil
+		}
+		delete(*at, c.Name)
+		return out.by(c), nil
+	}
+	switch {
+	case marked && was.Stop == c.Stop:
+		return w, nil
+	case c.Kind == "machine" && !k.Machine(c.Name):
+		return w, fmt.Errorf("%w: machine %q is not known", ErrUnknown, c.Name)
+	case c.Kind == "machine" && !marked && len(out.Machines) >= maxMachines:
+		return w, fmt.Errorf("%w: %d machines are being drained already", ErrMalformed, maxMachines)
+	case c.Kind == "node" && !slices.Contains(k.Nodes, c.Name):
+		return w, fmt.Errorf("%w: controller %q is none of %s", ErrUnknown, c.Name, strings.Join(k.Nodes, ", "))
+	case c.Kind == "node" && !w.othersServe(c.Name, k):
+		return w, fmt.Errorf("%w: no other controller is alive and not drained", ErrLast)
+	}
+	if *at == nil {
+		*at = map[string]Mark{}
+	}
+	(*at)[c.Name] = Mark{By: c.By, AtMS: c.AtMS, Stop: c.Stop}
+	return out.by(c), nil
+}
+
+func (w Wishes) by(c Command) Wishes {
+	who := c.By
+	if who == "" {
+		who = "somebody"
+	}
+	w.Last = fmt.Sprintf("%s: %s %s %s", who, c.Op, c.Kind, c.Name)
+	return w
+}
+
+// othersServe tells whether another controller is alive that nobody wants drained.
+func (w Wishes) othersServe(name string, k Cluster) bool {
+	return slices.ContainsFunc(k.Alive, func(n string) bool {
+		_, drained := w.Nodes[n]
+		return n != name && !drained
+	})
+}
+
+// Without is the document without the marks of machines that are gone, and whether there were any.
+func (w Wishes) Without(gone func(machine string) bool) (Wishes, bool) {
+	out := Wishes{Nodes: w.Nodes, Machines: maps.Clone(w.Machines), Last: w.Last}
+	maps.DeleteFunc(out.Machines, func(name string, _ Mark) bool { return gone(name) })
+	return out, len(out.Machines) != len(w.Machines)
+}
--- a/internal/world/faults.go
+++ b/internal/world/faults.go
@@ -122,3 +122,24 @@
 	}
 	return false
 }
+
+// Busiest names the machine with most tasks on it.
+func (w *World) Busiest() (name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	most := -1
+	for _, m := range w.up() {
+		if len(m.tasks) > most {
+			most, name = len(m.tasks), m.Name
+		}
+	}
+	return name
+}
+
+// Returned tells whether a machine was given back.
+func (w *World) Returned(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m := w.byName[name]
+	return m != nil && m.returned
+}
