--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -170,7 +170,15 @@
 		c.lossy = 0.03
 		for range 60 {
 			n := c.nodes[c.rng.IntN(3)]
-			switch c.rng.IntN(6) {
+			switch c.rng.IntN(8) {
+			case 6:
+				if n.mem != nil {
+					n.mem.Leave(c.svc.Now)
+				}
+			case 7:
+				if n.mem != nil {
+					n.mem.Return(c.svc.Now)
+				}
 			case 0:
 				n.gen++
 				n.mem = nil
@@ -194,6 +202,7 @@
 			if n.mem == nil {
 				n.start()
 			}
+			n.mem.Return(c.svc.Now)
 		}
 		c.runFor(25 * time.Second)
 		if c.leader() == nil {
@@ -226,6 +235,36 @@
 	}
 }
 
+// A leader that leaves has no authority from then on, and another leads without waiting for its hold
+// to run out; it stays away until it returns.
+func TestLeaveHandsTheLeadOver(t *testing.T) {
+	c := newCluster(t, 3)
+	c.runFor(3 * time.Second)
+	l := c.leader()
+	l.mem.Leave(c.svc.Now)
+	if l.mem.Authority(c.svc.Now) {
+		t.Fatal("still has authority")
+	}
+	c.runFor(800 * time.Millisecond)
+	next := c.leader()
+	if next == nil || next == l {
+		t.Fatal("nobody took over within 0.8 s of a hold that lives for 3 s")
+	}
+	for _, n := range c.nodes {
+		if n != l {
+			n.gen++
+			n.mem = nil
+		}
+	}
+	if c.runFor(10 * time.Second); c.leader() != nil {
+		t.Fatal("one that has left leads again")
+	}
+	l.mem.Return(c.svc.Now)
+	if c.runFor(5 * time.Second); c.leader() != l {
+		t.Fatal("back, and alone, it doesn't lead")
+	}
+}
+
 // A restarted leader ends the hold of its former process instead of waiting for it.
 func TestRestartIsFasterThanTheHold(t *testing.T) {
 	c := newCluster(t, 2)
