Licences: clocks of agents, ends of the server counted, code that nobody called removed

Cause: a review of the whole change. Pools' names are escaped in the path; two methods and a flag of the ledger had no caller. A test for clocks that drift or jump under a session's agent and controller.

--- a/internal/controller/licences.go
+++ b/internal/controller/licences.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"net/url"
 	"time"
 
 	"github.com/harewalk/harewalk/internal/httpio"
@@ -23,7 +24,7 @@
 		return
 	}
 	for _, p := range f.Gate.Seats.Due(now) {
-		c.seats.Send(p.Server, httpio.Request{Method: "GET", Path: "/v1/pools/" + p.Name, Timeout: licences.AskTimeout}, func(r httpio.Response) {
+		c.seats.Send(p.Server, httpio.Request{Method: "GET", Path: "/v1/pools/" + url.PathEscape(p.Name), Timeout: licences.AskTimeout}, func(r httpio.Response) {
 			if c.fleet != f {
 				return
 			}
@@ -51,9 +52,6 @@
 		slog.Error("a stored count of licences cannot be read", "key", it.Key, "cause", err)
 		return
 	}
-	if c.fleet != nil {
-		c.fleet.Gate.Seats.Counted()
-	}
 }
 
 // setCount is an operator's command: the body of a POST to a pool.
@@ -126,7 +124,6 @@
 		case r.Outcome == store.Committed && c.fleet == f:
 			if s.Reset {
 				c.pools.Drop(key, r.Revision)
-				f.Gate.Seats.Counted()
 			} else {
 				c.counted(store.Item{Key: key, Value: op.Value, Version: r.Revision})
 			}
--- a/internal/licences/ledger.go
+++ b/internal/licences/ledger.go
@@ -139,8 +139,6 @@
 	cat   *Catalog
 	pools []*account
 	since time.Duration
-	// news is set when seats came free or a limit rose since it was last asked for.
-	news bool
 }
 
 // Timing of questions to a server.
@@ -218,7 +216,6 @@
 	switch to {
 	case Free:
 		s.units = 0
-		l.news = true
 	case Booked, Held:
 		a.current[h.Ref] = h
 	}
@@ -358,16 +355,6 @@
 	}
 }
 
-// Holds tells whether a task has all its seats already.
-func (l *Ledger) Holds(ref Ref, needs []Unit) bool {
-	for _, u := range needs {
-		if a := l.account(u.Pool); a == nil || a.current[ref] == (Holder{}) {
-			return false
-		}
-	}
-	return len(needs) > 0
-}
-
 // total is how many units there are: the count, or what the server gives out if that is less.
 func (l *Ledger) total(a *account) int {
 	n := l.cat.Count(a.index)
@@ -435,13 +422,3 @@
 	}
 	return Granted, -1
 }
-
-// News tells, once, that seats have come free or may have since it was last asked.
-func (l *Ledger) News() bool {
-	n := l.news
-	l.news = false
-	return n
-}
-
-// Counted tells that a pool's count was set anew.
-func (l *Ledger) Counted() { l.news = true }
--- a/internal/licences/server.go
+++ b/internal/licences/server.go
@@ -114,7 +114,6 @@
 		a.recent = a.recent[1:]
 	}
 	l.doubt(now, a)
-	l.news = true
 }
 
 // holder finds whom an entry means. A server that can't tell attempts means the one that
@@ -178,9 +177,7 @@
 // Tick lets time pass: servers fall silent, lingers end, reserves change with the time of day.
 func (l *Ledger) Tick(now time.Duration, wall time.Time) {
 	for _, a := range l.pools {
-		if r := a.ReserveAt(wall); r != a.reserve {
-			a.reserve, l.news = r, true
-		}
+		a.reserve = a.ReserveAt(wall)
 		if a.Server == "" {
 			l.unserved(now, a)
 			continue
@@ -196,7 +193,6 @@
 func (l *Ledger) unserved(now time.Duration, a *account) {
 	if a.line == Unasked && now-l.since >= a.Linger {
 		a.to(now, Open, "nothing of an earlier term can linger any more")
-		l.news = true
 	}
 	if a.byState[Lingering] == 0 {
 		return
--- a/internal/sessions/manager_test.go
+++ b/internal/sessions/manager_test.go
@@ -780,6 +780,36 @@
 	}
 }
 
+// An agent whose clock runs by the allowed drift differently, and a controller whose time of day is wrong or
+// jumps, change nothing: only ages count, and only the controller's steady clock adds to them.
+func TestClocks(t *testing.T) {
+	for _, drift := range []float64{0.9995, 1, 1.0005} {
+		d := newDesk(t, policies(t))
+		jump := time.Duration(0)
+		d.m.Wall = func(now time.Duration) time.Time { return time.Unix(1_790_000_000, 0).Add(now + jump) }
+		d.open()
+		d.start()
+		d.talk(2 * time.Second)
+		for i := range 600 { // an hour of work, with input every six seconds
+			d.pass(6 * time.Second)
+			jump = time.Duration(i%3-1) * time.Hour
+			d.nb.input = d.now - time.Duration(float64(time.Second)*drift)
+			if d.deliver(d.report(), false); d.state() != Active {
+				t.Fatalf("drift %v: %s while it is used", drift, d.state())
+			}
+		}
+		from := d.now
+		for d.state() != Reclaimed {
+			if d.talk(time.Second); d.now-from > 2*time.Minute {
+				t.Fatalf("drift %v: %s two minutes later", drift, d.state())
+			}
+		}
+		if took := d.now - from; took < 99*time.Second || took > 106*time.Second {
+			t.Fatalf("drift %v: reclaimed after %v, idle for 30 s, limit 60 s, warning 10 s", drift, took)
+		}
+	}
+}
+
 // Closing is final and leaves no record; a session whose job was cancelled otherwise goes too.
 func TestClose(t *testing.T) {
 	for _, otherwise := range []bool{false, true} {
--- a/internal/world/licence.go
+++ b/internal/world/licence.go
@@ -133,6 +133,7 @@
 	s.w.mu.Lock()
 	defer s.w.mu.Unlock()
 	if s.down = on; on {
+		s.w.stats.ServerEnds++
 		for _, p := range s.pools {
 			clear(p.holders)
 		}
--- a/internal/world/notebook.go
+++ b/internal/world/notebook.go
@@ -38,8 +38,7 @@
 	failing   bool          // saves fail
 	slow      time.Duration // saves take so long
 	closed    bool
-	notice    *sessions.Order // the newest answer
-	Reclaims  int             // times the session was stopped with its work saved
+	Reclaims  int // times the session was stopped with its work saved
 	Resumes   int
 }
 
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -112,7 +112,7 @@
 
 // Stats counts what happened.
 type Stats struct {
-	Starts, Done, Crashed, MachinesKilled, Hung, LeaseEnds, LateOrders int
+	Starts, Done, Crashed, MachinesKilled, Hung, LeaseEnds, LateOrders, ServerEnds int
 }
 
 // progress is what is kept of a task outside its machine.
