--- a/internal/controller/licences.go
+++ b/internal/controller/licences.go
@@ -50,7 +50,6 @@
 func (c *Controller) counted(it store.Item) {
 	if err := c.pools.Item(it.Key, it.Value, it.Version); err != nil {
 		slog.Error("a stored count of licences cannot be read", "key", it.Key, "cause", err)
-		return
 	}
 }
 
