--- a/cmd/harewalk/daemon_world_test.go
+++ b/cmd/harewalk/daemon_world_test.go
@@ -308,9 +308,26 @@
 	if out, code := command(t, "job", "why", "req-000003", "-o", "json", "--server", w.Public(2)); code != 0 || !strings.Contains(out, `"why": "gang_short"`) {
 		t.Fatalf("exit %d: %s", code, out)
 	}
+	list := func(want int, where string) string {
+		t.Helper()
+		out, code := command(t, "job", "list", "--where", where, "--server", w.Public(2))
+		if code != want {
+			t.Fatalf("%s: exit %d: %s", where, code, out)
+		}
+		return out
+	}
+	if out := list(0, `team = blue and (waiting >= 4 or class ~ nothing) and not tasks = 60`); strings.Contains(out, "req-000001") || strings.Contains(out, "req-000002") || !strings.Contains(out, "req-000003") {
+		t.Fatal(out)
+	}
+	if out := list(2, "team = blue and waitin > 3"); !strings.Contains(out, "column 17") || !strings.Contains(out, `no field "waitin"`) {
+		t.Fatal(out)
+	}
 	for i := 1; i <= 4; i++ {
 		u.Cancel(fmt.Sprintf("req-%06d", i))
 	}
+	if out, code := command(t, "job", "watch", "req-000001", "--server", w.Public(0)); code != 3 || !strings.Contains(out, "req-000001 cancelled") {
+		t.Fatalf("exit %d: %s", code, out)
+	}
 	for _, b := range w.Broken() {
 		t.Error(b)
 	}
--- /dev/null
+++ b/cmd/harewalk/list.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/url"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/harewalk/harewalk/internal/controller"
+	"github.com/harewalk/harewalk/internal/query"
+)
+
+func listCmd(server *string) *cobra.Command {
+	var o operator
+	var where string
+	c := &cobra.Command{
+		Use: "list", Short: "List jobs, those that match a filter", Args: cobra.NoArgs,
+		Long: "List jobs by id. --where takes comparisons joined by and, or, not and parentheses. Texts (id, stance, class, team,\n" +
+			"kind, priority) are compared with =, != and ~ (contains), numbers (tasks, done, running, waiting, age_s) with =, !=,\n" +
+			"<, <=, > and >=. An error points at the column.",
+		Example: "  harewalk job list --where 'waiting > 0 and team = \"red\"'\n  harewalk job list --where 'stance = running and (class ~ audit or age_s > 3600)' -o json",
+		RunE: func(c *cobra.Command, _ []string) error {
+			o.server = *server
+			// What is wrong is said before anybody is asked.
+			if _, err := query.Parse(where, controller.ListFields); err != nil {
+				return coded{exitUsage, fmt.Errorf("--where, %w\n  %s", err, where)}
+			}
+			all := []controller.Listed{}
+			for after := ""; ; {
+				var page controller.List
+				q := url.Values{"where": {where}, "since": {after}}
+				if err := o.ask("GET", "/v2/runs?"+q.Encode(), nil, &page); err != nil {
+					return err
+				}
+				if all = append(all, page.Jobs...); !page.More || len(page.Jobs) == 0 {
+					break
+				}
+				after = page.Jobs[len(page.Jobs)-1].ID
+			}
+			return o.show(c.OutOrStdout(), all, func(t *tabwriter.Writer) {
+				fmt.Fprintln(t, "JOB\tSTANCE\tTEAM\tCLASS\tPRIORITY\tTASKS\tDONE\tRUNNING\tWAITING\tAGE")
+				for _, l := range all {
+					fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\n", l.ID, l.Stance, l.Team, l.Class, l.Priority, l.Tasks, l.Done, l.Running, l.Waiting, brief(l.AgeS))
+				}
+			})
+		},
+	}
+	c.Flags().StringVar(&where, "where", "", "only jobs that match")
+	c.Flags().StringVarP(&o.output, "output", "o", "table", "table or json")
+	return c
+}
+
+func watchCmd(server *string) *cobra.Command {
+	var every time.Duration
+	c := &cobra.Command{
+		Use: "watch ID", Short: "Follow a job to its end, a line for each change", Args: cobra.ExactArgs(1),
+		Long: "Follow a job until it is done (exit 0) or cancelled (exit 3). An answer that doesn't come is asked for again.",
+		RunE: func(c *cobra.Command, args []string) error {
+			return watch(c.OutOrStdout(), "http://"+*server+"/v2/runs/"+url.PathEscape(args[0]), max(every, 200*time.Millisecond))
+		},
+	}
+	c.Flags().DurationVar(&every, "every", 2*time.Second, "time between two questions, at least 200ms")
+	return c
+}
+
+func watch(out io.Writer, at string, every time.Duration) error {
+	type view struct {
+		ID      string `json:"name_id"`
+		Stance  string `json:"stance"`
+		Done    int    `json:"done"`
+		Running int    `json:"running"`
+	}
+	var was view
+	for ; ; time.Sleep(every) {
+		status, body, _, err := once("GET", at, nil)
+		var now view
+		switch {
+		case err != nil || status == 429 || status >= 500 || (status == 200 && json.Unmarshal(body, &now) != nil):
+			continue // it is asked again later, as the protocol has it
+		case status != 200:
+			return coded{exitFailed, fmt.Errorf("status %d: %s", status, strings.TrimSpace(string(body)))}
+		}
+		if now != was {
+			fmt.Fprintf(out, "%s %s: %d done, %d running\n", now.ID, now.Stance, now.Done, now.Running)
+			was = now
+		}
+		switch now.Stance {
+		case "done":
+			return nil
+		case "cancelled":
+			return coded{exitRefused, fmt.Errorf("%s is cancelled", now.ID)}
+		}
+	}
+}
--- a/cmd/harewalk/main.go
+++ b/cmd/harewalk/main.go
@@ -192,7 +192,7 @@
 				return call(c.OutOrStdout(), "GET", "http://"+server+"/v2/runs/"+args[0], nil)
 			},
 		},
-		whyCmd(&server),
+		listCmd(&server), watchCmd(&server), whyCmd(&server),
 		&cobra.Command{
 			Use: "cancel ID", Short: "Cancel a job", Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -96,6 +96,7 @@
 
 	wishes    operate.Wishes
 	wishesVer uint64
+	listAt    time.Duration // when jobs were listed last
 	sweptAt   time.Duration // of marks of machines that are gone
 
 	summary  time.Duration
@@ -217,6 +218,8 @@
 		reply(intake.Refuse(503, "the leader may not act now"))
 	case q.What == "why":
 		c.whyCall(now, q, reply)
+	case q.What == "list":
+		c.listCall(now, q, reply)
 	case q.What == "admin":
 		c.adminCall(now, q, reply)
 	case q.What == "licences":
--- /dev/null
+++ b/internal/controller/list.go
@@ -0,0 +1,126 @@
+package controller
+
+import (
+	"errors"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/intake"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/query"
+)
+
+// Listed is one job in a list.
+type Listed struct {
+	ID       string  `json:"name_id"`
+	Stance   string  `json:"stance"`
+	Class    string  `json:"breed,omitempty"`
+	Team     string  `json:"warren,omitempty"`
+	Kind     string  `json:"gait,omitempty"`
+	Priority string  `json:"urgency,omitempty"`
+	Tasks    int     `json:"tasks"`
+	Done     int     `json:"done"`
+	Running  int     `json:"running"`
+	Waiting  int     `json:"waiting"` // neither running nor done
+	AgeS     float64 `json:"age_s"`
+}
+
+// List is a page of jobs, by id. More tells that others follow after the last.
+type List struct {
+	Jobs []Listed `json:"jobs"`
+	More bool     `json:"has_next"`
+}
+
+// ListFields are the fields of a filter over jobs.
+var ListFields = query.Fields{"id": query.Text, "stance": query.Text, "class": query.Text, "team": query.Text, "kind": query.Text, "priority": query.Text,
+	"tasks": query.Number, "done": query.Number, "running": query.Number, "waiting": query.Number, "age_s": query.Number}
+
+// Text implements query.Row.
+func (l *Listed) Text(field string) string {
+	switch field {
+	case "id":
+		return l.ID
+	case "stance":
+		return l.Stance
+	case "class":
+		return l.Class
+	case "team":
+		return l.Team
+	case "kind":
+		return l.Kind
+	}
+	return l.Priority
+}
+
+// Number implements query.Row.
+func (l *Listed) Number(field string) float64 {
+	switch field {
+	case "tasks":
+		return float64(l.Tasks)
+	case "done":
+		return float64(l.Done)
+	case "running":
+		return float64(l.Running)
+	case "waiting":
+		return float64(l.Waiting)
+	}
+	return l.AgeS
+}
+
+// listEvery spaces the lists that are made: each looks at every job there is, on the event loop.
+const listEvery = 100 * time.Millisecond
+
+// pageSize bounds a page: it stays within what a line to users may be.
+const pageSize = 200
+
+// listCall lists jobs that match a filter, by id after the one named, a page at a time.
+func (c *Controller) listCall(now time.Duration, q intake.Call, reply func(intake.Reply)) {
+	f, err := query.Parse(q.Query["where"], ListFields)
+	var wrong *query.Error
+	if errors.As(err, &wrong) {
+		reply(intake.Refuse(400, "where: "+wrong.Error()))
+		return
+	}
+	if c.listAt > 0 && now-c.listAt < listEvery {
+		reply(intake.Refuse(429, "too many lists"))
+		return
+	}
+	c.listAt = now
+	size := pageSize
+	if n, err := strconv.Atoi(q.Query["limit"]); err == nil && n > 0 {
+		size = min(n, pageSize)
+	}
+	var found []*jobs.Job
+	after := q.Query["since"]
+	c.book.All(func(j *jobs.Job) {
+		if j.ID > after {
+			if l := c.listed(now, j); f.Match(&l, ListFields) {
+				found = append(found, j)
+			}
+		}
+	})
+	slices.SortFunc(found, func(a, b *jobs.Job) int { return strings.Compare(a.ID, b.ID) })
+	out := List{Jobs: []Listed{}, More: len(found) > size}
+	for _, j := range found[:min(size, len(found))] {
+		out.Jobs = append(out.Jobs, c.listed(now, j))
+	}
+	reply(intake.Reply{Status: 200, Body: out})
+}
+
+func (c *Controller) listed(now time.Duration, j *jobs.Job) Listed {
+	l := Listed{ID: j.ID, Stance: j.Stance.String(), Tasks: j.N, Done: j.DoneN}
+	if s := j.Spec; s != nil {
+		l.Class, l.Team, l.Kind, l.Priority = s.Class, s.Team, string(s.Kind), s.Priority
+		l.AgeS = max(0, (now - j.At).Seconds())
+	}
+	if j.Stance == jobs.Pending {
+		l.Done, l.Running = c.counts(j)
+		l.Waiting = j.N - l.Done - l.Running
+		if l.Running > 0 {
+			l.Stance = "running"
+		}
+	}
+	return l
+}
--- a/internal/intake/operator.go
+++ b/internal/intake/operator.go
@@ -9,10 +9,10 @@
 	"github.com/gofiber/fiber/v3"
 )
 
-// Call is a request that only the leader can answer: why a job waits, about licences, or about
-// sessions.
+// Call is a request that only the leader can answer: why a job waits, which jobs there are, about
+// operators' wishes, licences or sessions.
 type Call struct {
-	What   string // "why", "admin", "licences" or "sessions"
+	What   string // "why", "list", "admin", "licences" or "sessions"
 	Name   string // of the one it is about; "": all
 	Verb   string // what is asked: "show", or the last part of the path
 	Body   []byte // of a command
@@ -57,7 +57,12 @@
 	l := r.Leader
 	ask := func(c fiber.Ctx, what, verb string) error {
 		q := Call{What: what, Name: strings.Clone(c.Params("name")), Verb: verb, Bearer: bearer(c),
-			Query: map[string]string{"user": strings.Clone(c.Query("user")), "team": strings.Clone(c.Query("team"))}}
+			Query: map[string]string{}}
+		for _, k := range [...]string{"user", "team", "where", "since", "limit"} {
+			if v := c.Query(k); v != "" {
+				q.Query[k] = strings.Clone(v)
+			}
+		}
 		if c.Method() == fiber.MethodPost {
 			q.Body = append([]byte{}, c.Body()...)
 		}
@@ -74,6 +79,7 @@
 			return ask(c, what, verb)
 		}
 	}
+	app.Get("/v2/runs", on("list", "show"))
 	app.Get("/v2/runs/:name/why", on("why", "show"))
 	app.Get("/v2/admin", on("admin", "show"))
 	app.Post("/v2/admin", command("admin", "set"))
