--- a/cmd/harewalk/daemon_world_test.go
+++ b/cmd/harewalk/daemon_world_test.go
@@ -308,6 +308,12 @@
 	if out, code := command(t, "job", "why", "req-000003", "-o", "json", "--server", w.Public(2)); code != 0 || !strings.Contains(out, `"why": "gang_short"`) {
 		t.Fatalf("exit %d: %s", code, out)
 	}
+	if out, code := command(t, "job", "why", "req-000003", "-o", "yaml", "--server", w.Public(2)); code != 0 || !strings.Contains(out, "why: gang_short") {
+		t.Fatalf("exit %d: %s", code, out)
+	}
+	if out, code := command(t, "job", "list", "-o", "xml", "--server", w.Public(2)); code != 2 || !strings.Contains(out, `"xml"`) {
+		t.Fatalf("exit %d: %s", code, out)
+	}
 	list := func(want int, where string) string {
 		t.Helper()
 		out, code := command(t, "job", "list", "--where", where, "--server", w.Public(2))
--- a/cmd/harewalk/list.go
+++ b/cmd/harewalk/list.go
@@ -51,7 +51,7 @@
 		},
 	}
 	c.Flags().StringVar(&where, "where", "", "only jobs that match")
-	c.Flags().StringVarP(&o.output, "output", "o", "table", "table or json")
+	outputFlag(c.Flags(), &o.output)
 	return c
 }
 
--- a/cmd/harewalk/operator.go
+++ b/cmd/harewalk/operator.go
@@ -6,12 +6,15 @@
 	"io"
 	"os"
 	"os/user"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 	"github.com/valyala/fasthttp"
+	"go.yaml.in/yaml/v3"
 
 	"github.com/harewalk/harewalk/internal/licences"
 )
@@ -26,7 +29,7 @@
 	c.PersistentFlags().StringVar(&o.server, "server", "127.0.0.1:8080", "address of any controller")
 	c.PersistentFlags().StringVar(&o.tokenFile, "token-file", os.Getenv("HAREWALK_TOKEN_FILE"),
 		"file with the operators' token (or $HAREWALK_TOKEN_FILE)")
-	c.PersistentFlags().StringVarP(&o.output, "output", "o", "table", "table or json")
+	outputFlag(c.PersistentFlags(), &o.output)
 }
 
 func (o *operator) token() (string, error) {
@@ -47,8 +50,8 @@
 // can't be taken now is sent again for up to a minute; a command is not, once its outcome is
 // open.
 func (o *operator) ask(method, path string, body, into any) error {
-	if o.output != "table" && o.output != "json" {
-		return coded{exitUsage, fmt.Errorf("--output %q is neither table nor json", o.output)}
+	if !slices.Contains(outputs, o.output) {
+		return coded{exitUsage, fmt.Errorf("--output %q is none of %s", o.output, strings.Join(outputs, ", "))}
 	}
 	token, err := o.token()
 	if err != nil {
@@ -109,12 +112,35 @@
 	return p.StatusCode(), append([]byte(nil), p.Body()...), nil
 }
 
-// show prints a value as JSON, or as a table.
+// outputs are what a command can print.
+var outputs = []string{"table", "json", "yaml"}
+
+// outputFlag adds the flag that chooses among them.
+func outputFlag(f *pflag.FlagSet, into *string) {
+	f.StringVarP(into, "output", "o", "table", "table, json or yaml")
+}
+
+// show prints a value as JSON, as YAML with the same names, or as a table.
 func (o *operator) show(out io.Writer, v any, table func(*tabwriter.Writer)) error {
-	if o.output == "json" {
+	switch o.output {
+	case "json":
 		e := json.NewEncoder(out)
 		e.SetIndent("", "  ")
 		return e.Encode(v)
+	case "yaml":
+		raw, err := json.Marshal(v)
+		if err != nil {
+			return err
+		}
+		var names any // by the names of the JSON
+		if err := yaml.Unmarshal(raw, &names); err != nil {
+			return err
+		}
+		raw, err = yaml.Marshal(names)
+		if err == nil {
+			_, err = out.Write(raw)
+		}
+		return err
 	}
 	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	table(t)
--- a/cmd/harewalk/why.go
+++ b/cmd/harewalk/why.go
@@ -28,7 +28,7 @@
 			return o.show(c.OutOrStdout(), w, func(t *tabwriter.Writer) { explainJob(t, w) })
 		},
 	}
-	c.Flags().StringVarP(&o.output, "output", "o", "table", "table or json")
+	outputFlag(c.Flags(), &o.output)
 	return c
 }
 
