--- a/cmd/harewalk/main.go
+++ b/cmd/harewalk/main.go
@@ -240,11 +240,21 @@
 	}
 }
 
+// once asks without a token.
 func once(method, url string, body []byte) (status int, answer []byte, wait time.Duration, err error) {
+	return exchange(method, url, "", body)
+}
+
+// exchange sends one request, with a token if there is one; wait is when to come back, as the answer
+// asks.
+func exchange(method, url, token string, body []byte) (status int, answer []byte, wait time.Duration, err error) {
 	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer func() { fasthttp.ReleaseRequest(q); fasthttp.ReleaseResponse(p) }()
 	q.SetRequestURI(url)
 	q.Header.SetMethod(method)
+	if token != "" {
+		q.Header.Set("Authorization", "Bearer "+token)
+	}
 	if body != nil {
 		q.Header.SetContentType("application/json")
 		q.SetBody(body)
--- a/cmd/harewalk/operator.go
+++ b/cmd/harewalk/operator.go
@@ -13,7 +13,6 @@
 
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
-	"github.com/valyala/fasthttp"
 	"go.yaml.in/yaml/v3"
 
 	"github.com/harewalk/harewalk/internal/licences"
@@ -63,7 +62,7 @@
 	}
 	server, last := o.server, error(nil)
 	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
-		status, answer, err := exchange(method, "http://"+server+path, token, raw)
+		status, answer, _, err := exchange(method, "http://"+server+path, token, raw)
 		if err != nil {
 			if server, last = o.server, err; body != nil {
 				return coded{exitFailed, fmt.Errorf("no answer from %s: look whether the command was carried out before giving it again: %w", server, err)}
@@ -94,24 +93,6 @@
 	return coded{exitFailed, fmt.Errorf("given up after a minute: %w", last)}
 }
 
-func exchange(method, url, token string, body []byte) (int, []byte, error) {
-	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer func() { fasthttp.ReleaseRequest(q); fasthttp.ReleaseResponse(p) }()
-	q.SetRequestURI(url)
-	q.Header.SetMethod(method)
-	if token != "" {
-		q.Header.Set("Authorization", "Bearer "+token)
-	}
-	if body != nil {
-		q.Header.SetContentType("application/json")
-		q.SetBody(body)
-	}
-	if err := fasthttp.DoDeadline(q, p, time.Now().Add(5*time.Second)); err != nil {
-		return 0, nil, err
-	}
-	return p.StatusCode(), append([]byte(nil), p.Body()...), nil
-}
-
 // outputs are what a command can print.
 var outputs = []string{"table", "json", "yaml"}
 
--- a/internal/world/machine.go
+++ b/internal/world/machine.go
@@ -425,7 +425,7 @@
 		m.next = now + seconds(w.cfg.Workers.ReportS*(0.75+0.5*w.rng.Float64()))
 		to := w.settings[m.keeper].Public
 		w.mu.Unlock()
-		status, answer := post(client, "http://"+to+"/checkin", body, 4*time.Second)
+		status, answer := send(client, to, "/checkin", "", body)
 		w.answered(m, now, r.Session, status, answer)
 	}
 }
@@ -440,19 +440,6 @@
 	return b.String()
 }
 
-func post(c *fasthttp.Client, url string, body []byte, wait time.Duration) (int, []byte) {
-	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	q.SetRequestURI(url)
-	q.Header.SetMethod("POST")
-	q.Header.SetContentType("application/json")
-	q.SetBody(body)
-	if err := c.DoTimeout(q, p, wait); err != nil {
-		return 0, nil
-	}
-	defer func() { fasthttp.ReleaseRequest(q); fasthttp.ReleaseResponse(p) }()
-	return p.StatusCode(), append([]byte(nil), p.Body()...)
-}
-
 // answered takes the answer to a report.
 func (w *World) answered(m *Machine, sent time.Duration, session uint64, status int, body []byte) {
 	w.mu.Lock()
--- a/internal/world/notebook.go
+++ b/internal/world/notebook.go
@@ -333,12 +333,13 @@
 	return send(client, to, "/v2/sessions"+path, token, body)
 }
 
-// send sends a request with a token; status 0: no answer.
+// send sends a request, with a token if there is one; status 0: no answer within 4 s.
 func send(c *fasthttp.Client, to, path, token string, body []byte) (int, []byte) {
 	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	q.SetRequestURI("http://" + to + path)
 	if body != nil {
 		q.Header.SetMethod("POST")
+		q.Header.SetContentType("application/json")
 		q.SetBody(body)
 	}
 	if token != "" {
