Sessions: a reclaim whose write lands late can't stop a session in use

Cause: after an open write a read that showed it was not carried out was taken as proof. It could land afterwards, and the next leader would have parked a session that was thawed and used. The record is written again as it was, which moves its version, before anything goes on. And a process that starts while a reclaim is being written waits frozen for its outcome; an opening that landed late is found by the user's retry instead of being refused for ever.

Found by re-reading the change; the random model now lets lost writes land, and showed both.

--- a/internal/sessions/manager.go
+++ b/internal/sessions/manager.go
@@ -112,9 +112,6 @@
 	return s
 }
 
-// Len is the number of sessions that are not closed.
-func (m *Manager) Len() int { return len(m.byID) }
-
 // Tick looks at the sessions that are due.
 func (m *Manager) Tick(now time.Duration) {
 	for len(m.later) > 0 && m.later[0].at <= now {
@@ -298,6 +295,11 @@
 		m.own(now, s, r, true)
 		return Order{State: "ending", Kept: s.kept(), ReportS: 0.2}, true, ""
 	}
+	if s.writing && r.Attempt != s.attempt {
+		// Its machine died while a write is open, perhaps the one that reclaims it: until that is
+		// known the new process stays as it began, frozen.
+		return Order{State: s.state.String(), ReportS: pressing.Seconds()}, true, ""
+	}
 	if r.Attempt != s.attempt && (s.state == Active || s.state == Quiet || s.state == Warned || s.state == Saving) {
 		if s.attempt != 0 {
 			s.to(now, Lost, "another attempt of it runs")
@@ -430,19 +432,32 @@
 	})
 }
 
-// settle reads a record again after an open write until it knows what stands.
+// settle finds out what became of an open write. A read that shows it was not carried out proves
+// nothing yet: it may land afterwards, and the next leader would stop a session that is in use. So
+// the record is written again as it was, which moves its version; then the open write can't land.
 func (m *Manager) settle(s *session, raw json.RawMessage, was uint64, finish func(ok bool, version uint64)) {
+	again := func() {
+		m.later = append(m.later, reread{m.Now() + rereadAfter, func() { m.settle(s, raw, was, finish) }})
+	}
 	m.Read(Key(s.id), func(it store.Item, err error) {
 		switch {
 		case err != nil:
-			m.later = append(m.later, reread{m.Now() + rereadAfter, func() { m.settle(s, raw, was, finish) }})
+			again()
 		case it.Version != was && string(it.Value) == string(raw):
 			finish(true, it.Version)
-		default:
-			// A transaction that lands later fails: this leader's next write to the key goes
-			// first, and it depends on the version read here.
+		case it.Version != was:
 			s.version = it.Version
 			finish(false, 0)
+		default:
+			old, _ := json.Marshal(s.rec)
+			m.Commit(store.Txn{If: []store.Cond{{Key: Key(s.id), Version: was}}, Then: []store.Op{{Put: Key(s.id), Value: old}}}, func(r store.Result) {
+				if r.Outcome != store.Committed {
+					again()
+					return
+				}
+				s.version = r.Revision
+				finish(false, 0)
+			})
 		}
 	})
 }
--- a/internal/sessions/manager_test.go
+++ b/internal/sessions/manager_test.go
@@ -62,6 +62,7 @@
 	saves   map[string]int
 	held    []Report // under way to the controller
 	parks   int
+	late    []func() // writes whose answer is lost and that have not landed yet
 }
 
 type fataler interface {
@@ -90,7 +91,7 @@
 
 func (d *desk) lead(p *Policies) {
 	d.term++
-	d.commits = nil
+	d.commits, d.parked = nil, false // a new term's fleet parks what it is told to
 	d.book = jobs.NewBook(0)
 	var items []store.Item
 	for k, it := range d.kv {
@@ -138,23 +139,44 @@
 	if m != d.m {
 		return // of an earlier term: its guard fails
 	}
-	if outcome == 0 || outcome == 2 {
-		for _, c := range t.If {
-			if d.kv[c.Key].Version != c.Version {
-				done(store.Result{Outcome: store.Conflict})
-				return
+	if outcome == 3 { // it may land yet, as long as this leader's key stands
+		d.late = append(d.late, func() {
+			if m == d.m {
+				d.apply(t)
 			}
+		})
+	}
+	if (outcome == 0 || outcome == 2) && !d.apply(t) {
+		done(store.Result{Outcome: store.Conflict})
+		return
+	}
+	done(store.Result{Outcome: []store.Outcome{store.Committed, store.NotDone, store.Unknown, store.Unknown}[outcome], Revision: d.rev})
+}
+
+// apply carries out a transaction whose conditions hold.
+func (d *desk) apply(t store.Txn) bool {
+	for _, c := range t.If {
+		if d.kv[c.Key].Version != c.Version {
+			return false
 		}
-		d.rev++
-		for _, o := range t.Then {
-			if o.Delete != "" {
-				delete(d.kv, o.Delete)
-			} else {
-				d.kv[o.Put] = store.Item{Key: o.Put, Value: o.Value, Version: d.rev}
-			}
+	}
+	d.rev++
+	for _, o := range t.Then {
+		if o.Delete != "" {
+			delete(d.kv, o.Delete)
+		} else {
+			d.kv[o.Put] = store.Item{Key: o.Put, Value: o.Value, Version: d.rev}
 		}
 	}
-	done(store.Result{Outcome: []store.Outcome{store.Committed, store.NotDone, store.Unknown, store.Unknown}[outcome], Revision: d.rev})
+	return true
+}
+
+// land lets the writes land that were lost on their way.
+func (d *desk) land() {
+	for _, f := range d.late {
+		f()
+	}
+	d.late = nil
 }
 
 // park is the fleet's side. What is checked here is what this package is for: a session is only
@@ -357,6 +379,12 @@
 				i := rapid.IntRange(0, len(d.held)-1).Draw(t, "which")
 				d.deliver(d.held[i], true)
 			},
+			"a lost write lands": func(t *rapid.T) {
+				if len(d.late) == 0 {
+					t.Skip("none")
+				}
+				d.land()
+			},
 			"commit": commit, "commit more": commit,
 			"want": func(t *rapid.T) { d.wanted = rapid.Bool().Draw(t, "wanted") },
 			"pass": pass, "pass more": pass, "pass still more": pass,
@@ -386,6 +414,7 @@
 			},
 		})
 		parks += d.parks
+		d.land()
 		// All works again: the user returns.
 		var r Record
 		d.settle(0)
@@ -645,6 +674,74 @@
 	}
 }
 
+// The write that makes a reclaim durable is lost, the session goes on, and then the write lands after
+// all: it must not be what the next leader reads, or it would stop a session that is in use.
+func TestReclaimLandsLate(t *testing.T) {
+	d := saving(t)
+	d.deliver(d.report(), false)
+	d.deliver(d.report(), false)
+	d.settle(3)
+	if d.deliver(d.report(), false); !d.nb.frozen {
+		t.Fatal("thawed while it is open whether it is reclaimed")
+	}
+	d.pass(time.Second)
+	d.settle(0)
+	if d.state() != Quiet {
+		t.Fatalf("%s after a write that was lost", d.state())
+	}
+	d.deliver(d.report(), false)
+	if d.nb.frozen {
+		t.Fatal("not thawed")
+	}
+	d.nb.work++
+	d.land()
+	d.lead(d.m.Policies)
+	if d.parks > 0 || d.state() != Opening {
+		t.Fatalf("parked %d times, %s", d.parks, d.state())
+	}
+}
+
+// The machine dies while the reclaim is being written and another process starts: it stays frozen until
+// that is known, and then what is durable counts.
+func TestMachineLostWhileReclaiming(t *testing.T) {
+	for outcome, want := range map[int]State{0: Reclaimed, 1: Active} {
+		d := saving(t)
+		d.deliver(d.report(), false)
+		d.deliver(d.report(), false)
+		d.start()
+		if d.deliver(d.report(), false); !d.nb.frozen {
+			t.Fatal("the new process was thawed")
+		}
+		d.settle(outcome)
+		if d.deliver(d.report(), false); d.state() != want || (want == Reclaimed) != (d.parks == 1) || d.nb.frozen != (want == Reclaimed) {
+			t.Fatalf("outcome %d: %s, parked %d times, %+v", outcome, d.state(), d.parks, d.nb)
+		}
+	}
+}
+
+// Opening a session whose first answer was lost, and whose write landed late, finds it.
+func TestOpeningLandsLate(t *testing.T) {
+	d := newDesk(t, policies(t))
+	spec := &jobs.Spec{ID: id, Class: "c", Team: "t", Kind: jobs.Service, Priority: "standard", Tasks: 1, CPUs: 1, Image: "i"}
+	open := func(token string) (status int) {
+		d.m.Open(d.now, &Request{Spec: spec, User: "kana", Token: Digest(token), Agent: Digest("agent")}, func(a Answer) { status = a.Status })
+		d.settle(3)
+		return status
+	}
+	if s := open("user"); s != 503 {
+		t.Fatalf("status %d for a write that was lost", s)
+	}
+	d.land()
+	it := d.kv[jobs.RecordKey(id)]
+	_, _, _ = d.book.Apply(id, it.Value, it.Version) // as its follow brings it
+	if s := open("another"); s != 409 {
+		t.Fatalf("status %d for another's id", s)
+	}
+	if s := open("user"); s != 200 || d.state() != Opening {
+		t.Fatalf("status %d, %s for the user's retry", s, d.state())
+	}
+}
+
 // What an agent says counts only if it is new, about the save that was ordered, and leaves nothing
 // unsaved.
 func TestWhatDoesNotReclaim(t *testing.T) {
--- a/internal/sessions/users.go
+++ b/internal/sessions/users.go
@@ -72,7 +72,8 @@
 		return
 	}
 	if m.Book.Get(id) != nil {
-		reply(no(409, "the id %s is taken by a job", id))
+		// A job of that id, or this session: its write may have landed after its answer was lost.
+		m.reopen(q, no(409, "the id %s is taken by a job", id), reply)
 		return
 	}
 	p := m.Policies
@@ -103,20 +104,23 @@
 			m.Learned(at, store.Item{Key: key, Value: job, Version: r.Revision})
 			reply(Answer{Status: 201, View: m.view(at, s)})
 		case store.Conflict, store.Unknown:
-			m.reopen(q, reply)
+			m.reopen(q, no(503, "the session was not stored"), reply)
 		default:
 			reply(no(503, "the state service did not take the session"))
 		}
 	})
 }
 
-// reopen answers from what stands, after a write that may have been carried out.
-func (m *Manager) reopen(q *Request, reply func(Answer)) {
+// reopen answers from what stands, after a write that may have been carried out; with absent if
+// there is no session of that id.
+func (m *Manager) reopen(q *Request, absent Answer, reply func(Answer)) {
 	m.Read(Key(q.Spec.ID), func(it store.Item, err error) {
 		var r Record
 		switch {
-		case err != nil || it.Version == 0:
-			reply(no(503, "the session was not stored"))
+		case err != nil:
+			reply(no(503, "the state service does not answer"))
+		case it.Version == 0:
+			reply(absent)
 		case json.Unmarshal(it.Value, &r) != nil || r.Token != q.Token || r.User != q.User:
 			reply(no(409, "the id %s is taken", q.Spec.ID))
 		default:
