--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -327,6 +327,15 @@
 // Lease is the workers' lease.
 func (s *Settings) Lease() time.Duration { return Seconds(s.Params.Workers.LeaseS) }
 
+// teamNames are the platform's teams.
+func (s *Settings) teamNames() map[string]bool {
+	names := map[string]bool{}
+	for _, t := range s.Params.Teams {
+		names[t.Name] = true
+	}
+	return names
+}
+
 // MoneyCounts tells whether an objective measures money.
 func (s *Settings) MoneyCounts() bool {
 	for _, o := range s.Params.Objectives {
--- a/internal/config/licences.go
+++ b/internal/config/licences.go
@@ -49,10 +49,7 @@
 // derivePools turns the declarations into pools; its error names the bad one.
 func (s *Settings) derivePools() error {
 	s.pools = nil
-	teams := map[string]bool{}
-	for _, t := range s.Params.Teams {
-		teams[t.Name] = true
-	}
+	teams := s.teamNames()
 	seen := map[string]bool{}
 	for i := range s.Operator.Licences {
 		d := &s.Operator.Licences[i]
--- a/internal/config/sessions.go
+++ b/internal/config/sessions.go
@@ -81,10 +81,7 @@
 		Silent: duration(d.SilentS, defaultSilent), Keep: time.Duration(d.KeepDays * 24 * float64(time.Hour)),
 		PerUser: d.PerUser, PerTeam: d.PerTeam, ByTeam: map[string]*sessions.Policy{},
 		Default: &sessions.Policy{Limits: sessions.Limits{Rule: rule, Wanted: 0, Name: "default"}}}
-	teams := map[string]bool{}
-	for _, t := range s.Params.Teams {
-		teams[t.Name] = true
-	}
+	teams := s.teamNames()
 	for i := range d.Policies {
 		q := &d.Policies[i]
 		switch {
--- a/internal/licences/ledger.go
+++ b/internal/licences/ledger.go
@@ -67,7 +67,7 @@
 	shown int           // what the server's last answer has for this holder
 	since time.Duration // of state
 	until time.Duration // Lingering without an answer ends then
-	late  time.Duration // Held: since when answers lack it although one had it; 0: they don't
+	late  bool          // Held, and answers lack it although one had it
 }
 
 // weight is what the seat takes of its pool: what is booked here and what the server shows
@@ -209,9 +209,9 @@
 		}
 	}
 	s.state, s.since = to, now
-	if s.late != 0 {
+	if s.late {
 		a.missing--
-		s.late = 0
+		s.late = false
 	}
 	switch to {
 	case Free:
@@ -298,9 +298,9 @@
 	if was.Attempt == 0 && state == Held {
 		a.unsure -= units
 	}
-	if s.late != 0 {
+	if s.late {
 		a.missing--
-		s.late = 0
+		s.late = false
 	}
 	delete(a.current, was.Ref)
 	a.weight += shown - s.weight()
--- a/internal/licences/ledger_test.go
+++ b/internal/licences/ledger_test.go
@@ -284,7 +284,7 @@
 			if s.state == Held && h.Attempt == 0 {
 				unsure += s.units
 			}
-			if s.late != 0 {
+			if s.late {
 				missing++
 			}
 			if (s.state == Held || s.state == Booked) != (a.current[h.Ref] == h) {
--- a/internal/licences/server.go
+++ b/internal/licences/server.go
@@ -138,11 +138,11 @@
 		s.shown = n
 		a.weight += s.weight() - before
 		switch {
-		case s.state == Held && n > 0 && s.late != 0:
-			s.late = 0
+		case s.state == Held && n > 0 && s.late:
+			s.late = false
 			a.missing--
-		case s.state == Held && n == 0 && had > 0 && s.late == 0:
-			s.late = max(now, 1)
+		case s.state == Held && n == 0 && had > 0 && !s.late:
+			s.late = true
 			a.missing++
 		}
 		a.keep(h, s)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -111,10 +111,10 @@
 	campaign  time.Duration // not before
 	quiet     time.Duration // do not campaign before, after resigning
 	busy      bool
-	left      bool   // for good
+	left      bool   // until Return
 	leaving   uint64 // hold to be ended since
 	releasing bool
-	retried   bool
+	releaseAt time.Duration // not before
 	synced    bool
 	freshness func() time.Duration
 
@@ -189,7 +189,7 @@
 	m.lose(now)
 }
 
-// Leave ends the hold at once, for good: whoever takes over need not wait for it. Authority ends
+// Leave ends the hold at once and stays away until Return: whoever takes over need not wait for it. Authority ends
 // here, before the request goes out.
 func (m *Membership) Leave(now time.Duration) {
 	slog.Info("leaving", "term", m.leader.Term)
@@ -201,18 +201,18 @@
 // Return takes part again after a Leave. A hold that could not be ended runs out by itself.
 func (m *Membership) Return(now time.Duration) {
 	slog.Info("returning", "term", m.term.Term)
-	m.left, m.leaving, m.releasing, m.retried = false, 0, false, false
+	m.left, m.leaving, m.releasing, m.releaseAt = false, 0, false, 0
 	m.retryAt = now
 }
 
 // release ends the hold that was left, again until that is known to be done.
 func (m *Membership) release(now time.Duration) {
-	if m.leaving == 0 || m.releasing || now < m.retryAt && m.retried {
+	if m.leaving == 0 || m.releasing || now < m.releaseAt {
 		return
 	}
-	m.releasing, m.retried = true, true
+	m.releasing = true
 	m.store.EndHold(m.leaving, func(ok bool) {
-		if m.releasing, m.retryAt = false, m.store.Now()+300*time.Millisecond; ok {
+		if m.releasing, m.releaseAt = false, m.store.Now()+300*time.Millisecond; ok {
 			m.leaving = 0
 		}
 	})
