--- a/cmd/harewalk/dev.go
+++ b/cmd/harewalk/dev.go
@@ -88,6 +88,11 @@
 		if script, err = world.ParseScript(f); err != nil {
 			return coded{exitUsage, fmt.Errorf("--script %s: %w", d.script, err)}
 		}
+		for _, f := range script {
+			if f.Simulated {
+				return coded{exitUsage, fmt.Errorf("--script %s: %q is for `harewalk lab` only: here the controllers share one process", d.script, f.Text)}
+			}
+		}
 	}
 	w, err := world.New(world.Config{Seed: d.seed, Controllers: d.controllers, Zones: d.zones, Machines: d.machines, Speed: d.speed,
 		Types: []capacity.MachineType{
@@ -112,7 +117,7 @@
 		return coded{exitFailed, err}
 	}
 	d.welcome(out, w)
-	go w.Play(script, func(f world.Fault) { fmt.Fprintf(errs, "fault at %v: %s\n", f.At, f.Text) })
+	w.Play(script, func(f world.Fault) { fmt.Fprintf(errs, "fault at %v: %s\n", f.At, f.Text) })
 	select {
 	case err := <-fail:
 		return coded{exitFailed, err}
--- a/cmd/harewalk/main.go
+++ b/cmd/harewalk/main.go
@@ -62,7 +62,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(serveCmd(), checkCmd(), jobCmd(), adminCmd(), licenceCmd(), sessionCmd(), devCmd(), &cobra.Command{
+	cmd.AddCommand(serveCmd(), checkCmd(), jobCmd(), adminCmd(), licenceCmd(), sessionCmd(), devCmd(), labCmd(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "harewalk", version) },
 	})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -232,7 +232,16 @@
 
 // LoadOperator adds the operators' own settings from a file.
 func (s *Settings) LoadOperator(path string) error {
-	if err := hclsimple.DecodeFile(path, nil, &s.Operator); err != nil {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("operators' settings: %w", err)
+	}
+	return s.ReadOperator(path, raw)
+}
+
+// ReadOperator adds the operators' own settings from HCL; name ends in .hcl and stands in errors.
+func (s *Settings) ReadOperator(path string, raw []byte) error {
+	if err := hclsimple.Decode(path, raw, nil, &s.Operator); err != nil {
 		return fmt.Errorf("operators' settings: %w", err)
 	}
 	s.derive()
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -100,7 +100,7 @@
 	sweptAt   time.Duration // of marks of machines that are gone
 
 	summary  time.Duration
-	links    []*peers.Link
+	links    []link
 	status   map[string]heard
 	statusAt time.Duration
 }
@@ -118,15 +118,27 @@
 		debug.SetMemoryLimit(int64(s.Params.Limits.Memory() * 0.7 * (1 << 20)))
 	}
 	start := time.Now()
+	c := build(s, Outside{Now: func() time.Duration { return time.Since(start) }, EpochMS: start.UnixMilli(), Seed: uint64(start.UnixNano())})
+	for _, p := range s.Peers {
+		c.links = append(c.links, peers.NewLink(p.Addr))
+	}
+	return c
+}
+
+// build puts a controller together on what is outside.
+func build(s *config.Settings, o Outside) *Controller {
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(s.Node))
-	c := &Controller{s: s, loop: NewLoop(start), status: map[string]heard{}, ended: make(chan struct{}), byType: map[int32]*fleet.Type{},
-		rng: rand.New(rand.NewPCG(seed.Sum64(), uint64(start.UnixNano())))}
-	c.send = httpio.New(s.Params.Limits.Outgoing(serviceSlots), c.loop.Post)
-	c.wire = httpio.New(s.Params.Limits.Outgoing(workerSlots), c.loop.Post)
+	c := &Controller{s: s, loop: NewLoop(o.Now), status: map[string]heard{}, ended: make(chan struct{}), byType: map[int32]*fleet.Type{},
+		rng: rand.New(rand.NewPCG(seed.Sum64(), o.Seed))}
+	if o.Sender == nil {
+		o.Sender = func(limit int) httpio.Sender { return httpio.New(limit, c.loop.Post) }
+	}
+	c.send = o.Sender(s.Params.Limits.Outgoing(serviceSlots))
+	c.wire = o.Sender(s.Params.Limits.Outgoing(workerSlots))
 	c.store = store.New(s.Services.State, c.send, c.loop.Now, c.share(false), s.Params.State.TxnOps)
-	c.seats = httpio.New(s.Params.Limits.Outgoing(licenceSlots), c.loop.Post)
-	c.book = jobs.NewBook(start.UnixMilli())
+	c.seats = o.Sender(s.Params.Limits.Outgoing(licenceSlots))
+	c.book = jobs.NewBook(o.EpochMS)
 	c.pools = licences.NewCatalog(s.Pools())
 	c.book.Door.Pools = c.pools
 	c.quota = quota.New(s.Params.Teams, c.book.Door.Teams.Index)
@@ -179,12 +191,7 @@
 			return err
 		}
 	}
-	for _, p := range c.s.Peers {
-		c.links = append(c.links, peers.NewLink(p.Addr))
-	}
-	go peers.Serve(back, func(s peers.Status) {
-		c.loop.Offer(func() { c.status[s.Node] = heard{s, c.loop.Now()}; c.display(s) })
-	})
+	go peers.Serve(back, func(s peers.Status) { c.loop.Offer(func() { c.hear(s) }) })
 	fail := make(chan error, 1)
 	go func() {
 		fail <- intake.Serve(public, intake.Routes{Post: c.loop.Offer, PostReport: c.loop.OfferWorker, Now: c.loop.Now, Intake: c.in, Up: c.up,
@@ -192,7 +199,7 @@
 	}()
 	slog.Info("serving", "node", c.s.Node, "public", c.s.Public, "hold_ms", c.s.Operator.HoldTTLMS,
 		"money_counts", c.s.MoneyCounts(), "objectives", len(c.s.Params.Objectives))
-	go c.loop.Run(50*time.Millisecond, c.tick)
+	go c.loop.Run(TickEvery, c.tick)
 	return <-fail
 }
 
@@ -310,6 +317,12 @@
 	return j.DoneN, j.RunningN
 }
 
+// hear takes what another controller says of itself.
+func (c *Controller) hear(s peers.Status) {
+	c.status[s.Node] = heard{s, c.loop.Now()}
+	c.display(s)
+}
+
 // display takes over the leader's counts.
 func (c *Controller) display(s peers.Status) {
 	if c.fleet != nil || !s.Leading || s.Term < c.mem.Leader().Term {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -32,7 +32,7 @@
 // A controller that falls behind takes its own answers first, then reports, then users, each
 // in their order, and refuses at once what it has no room for.
 func TestUrgentMessagesGoFirst(t *testing.T) {
-	l := NewLoop(time.Now())
+	l := NewLoop(func() time.Duration { return 0 })
 	var got strings.Builder
 	say := func(s string) func() { return func() { got.WriteString(s) } }
 	for _, s := range []string{"u1 ", "u2 "} {
--- a/internal/controller/drain.go
+++ b/internal/controller/drain.go
@@ -42,18 +42,20 @@
 // hands the lead over instead of letting its hold run out, and answers what it was asked. The channel
 // is closed when it may end, which is within a few seconds.
 func (c *Controller) Drain() <-chan struct{} {
-	c.loop.Post(func() {
-		c.parks = false
-		switch now := c.loop.Now(); c.life {
-		case Serving:
-			c.startDrain(now, "told to drain")
-		case Parked:
-			c.turn(now, Ended, "it was drained before")
-		}
-	})
+	c.loop.Post(c.startLeaving)
 	return c.ended
 }
 
+func (c *Controller) startLeaving() {
+	c.parks = false
+	switch now := c.loop.Now(); c.life {
+	case Serving:
+		c.startDrain(now, "told to drain")
+	case Parked:
+		c.turn(now, Ended, "it was drained before")
+	}
+}
+
 func (c *Controller) startDrain(now time.Duration, cause string) {
 	c.in.Drain()
 	if c.fleet == nil {
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -18,16 +18,16 @@
 // that falls behind works through its own answers first, then reports, then users: once the
 // renewals of its hold stood in line with a thousand polls.
 type Loop struct {
-	msgs  [classes]chan func()
-	start time.Time
+	msgs [classes]chan func()
+	now  func() time.Duration
 }
 
 // maxQueue bounds the messages that wait in each class.
 const maxQueue = 2048
 
-// NewLoop makes a loop; its steady clock starts now.
-func NewLoop(start time.Time) *Loop {
-	l := &Loop{start: start}
+// NewLoop makes a loop on a steady clock.
+func NewLoop(now func() time.Duration) *Loop {
+	l := &Loop{now: now}
 	for i := range l.msgs {
 		l.msgs[i] = make(chan func(), maxQueue)
 	}
@@ -35,7 +35,7 @@
 }
 
 // Now is the steady clock.
-func (l *Loop) Now() time.Duration { return time.Since(l.start) }
+func (l *Loop) Now() time.Duration { return l.now() }
 
 // Post hands over a message and waits for room: for answers to our own requests, whose
 // number is bounded where they are sent.
--- /dev/null
+++ b/internal/controller/outside.go
@@ -0,0 +1,116 @@
+package controller
+
+import (
+	"encoding/json"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/fleet"
+	"github.com/harewalk/harewalk/internal/httpio"
+	"github.com/harewalk/harewalk/internal/intake"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/peers"
+)
+
+// link carries statuses to one other controller, without waiting.
+type link interface{ Send(raw []byte) }
+
+// Outside is all that a controller has of the world: its clocks, its randomness and its ways out.
+type Outside struct {
+	// Now is a steady clock, EpochMS what the clock on the wall said when it stood at 0.
+	Now     func() time.Duration
+	EpochMS int64
+	Seed    uint64
+	// Sender makes a way out with at most limit requests under way; nil for sockets.
+	Sender func(limit int) httpio.Sender
+}
+
+// Simulated is a controller without sockets, goroutines and clocks of its own: whoever made it calls
+// its methods, one at a time, and lets time pass. Everything else is what a real one does.
+type Simulated struct{ c *Controller }
+
+// Simulate makes a controller whose statuses go to the links.
+func Simulate(s *config.Settings, o Outside, links ...func(raw []byte)) *Simulated {
+	c := build(s, o)
+	for _, l := range links {
+		c.links = append(c.links, sendFunc(l))
+	}
+	return &Simulated{c}
+}
+
+type sendFunc func([]byte)
+
+func (f sendFunc) Send(raw []byte) { f(raw) }
+
+// TickEvery is how often a controller's event loop looks what is due.
+const TickEvery = 50 * time.Millisecond
+
+// Tick does what is due.
+func (s *Simulated) Tick() { s.c.tick(s.c.loop.Now()) }
+
+// Hear takes a status of another controller.
+func (s *Simulated) Hear(raw []byte) {
+	if st, err := peers.Decode(raw); err == nil {
+		s.c.hear(st)
+	}
+}
+
+// Leads tells whether it leads and may act.
+func (s *Simulated) Leads() bool { return s.c.fleet != nil && s.c.mem.Authority(s.c.loop.Now()) }
+
+// Drain is what SIGTERM does.
+func (s *Simulated) Drain() <-chan struct{} {
+	s.c.startLeaving()
+	return s.c.ended
+}
+
+// Ask takes a request as its HTTP side does; reply is called once, unless the controller ends before.
+func (s *Simulated) Ask(method, path string, body []byte, reply func(status int, body []byte)) {
+	c, now := s.c, s.c.loop.Now()
+	say := func(r intake.Reply) {
+		raw, _ := json.Marshal(r.Body)
+		reply(r.Status, raw)
+	}
+	u, err := url.Parse(path)
+	if err != nil {
+		say(intake.Refuse(400, err.Error()))
+		return
+	}
+	id, verb, _ := strings.Cut(strings.TrimPrefix(u.Path, "/v2/runs/"), "/")
+	switch {
+	case path == "/up":
+		if c.up() {
+			reply(200, []byte("{}"))
+		} else {
+			reply(503, []byte("{}"))
+		}
+	case path == "/checkin":
+		r, err := fleet.ParseReport(body)
+		if err != nil {
+			say(intake.Refuse(400, "not a report"))
+			return
+		}
+		c.report(now, r, say)
+	case u.Path == "/v2/runs" && method == "POST":
+		spec, err := jobs.ParseSpec(body)
+		if err != nil {
+			say(intake.Refuse(400, err.Error()))
+			return
+		}
+		c.in.Submit(now, spec, say)
+	case u.Path == "/v2/runs":
+		q := intake.Call{What: "list", Verb: "show", Query: map[string]string{}}
+		for k, v := range u.Query() {
+			q.Query[k] = v[0]
+		}
+		c.leaderCall(now, q, say)
+	case verb == "":
+		c.in.Query(now, id, say)
+	case verb == "abort":
+		c.in.Abort(now, id, say)
+	default:
+		c.leaderCall(now, intake.Call{What: verb, Name: id, Verb: "show"}, say)
+	}
+}
--- a/internal/httpio/httpio.go
+++ b/internal/httpio/httpio.go
@@ -68,8 +68,11 @@
 
 func (e localErr) Error() string { return string(e) }
 
-// ErrBusy says that too many requests are in flight already.
-const ErrBusy = localErr("too many requests in flight")
+// ErrBusy says that too many requests are in flight already, ErrLost that no answer came.
+const (
+	ErrBusy = localErr("too many requests in flight")
+	ErrLost = localErr("no answer came")
+)
 
 // Send implements Sender.
 func (c *Client) Send(addr string, req Request, done func(Response)) {
--- a/internal/world/machine.go
+++ b/internal/world/machine.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/harewalk/harewalk/internal/capacity"
 	"github.com/harewalk/harewalk/internal/fleet"
 	"github.com/harewalk/harewalk/internal/jobs"
@@ -74,14 +72,13 @@
 	m := &Machine{Name: machineName(len(w.machines) + 1), typ: t, zone: zone, spot: spot, rented: now,
 		boots: now + seconds(t.BootS*(0.6+0.9*w.rng.Float64())), session: 1, images: map[string]bool{}, keeper: w.rng.IntN(w.cfg.Controllers)}
 	var err error
-	if m.addr, err = w.serve(func(q request) (int, any) { return w.orders(m, q) }); err != nil {
+	if m.addr, err = w.ground.listen(m.Name, func(q request, reply answer) { w.orders(m, q, reply) }); err != nil {
 		return nil, err
 	}
 	m.base, m.next = m.boots, m.boots
 	w.machines = append(w.machines, m)
 	w.byName[m.Name] = m
-	w.done.Add(1)
-	go w.reports(m)
+	w.ground.after(m.boots-now, func() { w.reports(m) })
 	return m, nil
 }
 
@@ -90,9 +87,21 @@
 // end takes a machine and everything on it away.
 func (w *World) end(now time.Duration, m *Machine) {
 	w.drop(now, m)
+	if !m.dead {
+		w.spent += m.cost(now)
+	}
 	m.dead, m.diedAt = true, now
 }
 
+// cost is a machine's price from its renting on.
+func (m *Machine) cost(now time.Duration) float64 {
+	price := m.typ.Price
+	if m.spot {
+		price = m.typ.Spot
+	}
+	return price * (now - m.rented).Hours()
+}
+
 // drop ends a machine's tasks without notice.
 func (w *World) drop(now time.Duration, m *Machine) {
 	for _, k := range m.tasks {
@@ -118,7 +127,14 @@
 	if m.noticeAt > 0 && now >= m.noticeAt && !m.dead {
 		w.end(now, m)
 	}
-	if m.dead || now < m.boots || now < m.hungTill {
+	if m.dead || now < m.boots {
+		return
+	}
+	if now < m.hungTill {
+		// It executes nothing, and beyond its lease it never will: what is on it is gone.
+		if now-m.base > seconds(w.cfg.Workers.LeaseS) {
+			w.drop(now, m)
+		}
 		return
 	}
 	w.expire(now, m)
@@ -271,31 +287,30 @@
 
 // orders is a worker's direct entry. A machine that hangs takes what waits once it resumes,
 // and commands that are held back on the way are carried out long after their sender gave up.
-func (w *World) orders(m *Machine, q request) (int, any) {
-	for {
-		w.mu.Lock()
-		now := w.now()
-		wait := max(m.hungTill-now, m.late)
-		dead := m.dead || now < m.boots
-		if wait <= 0 && !dead {
-			break
-		}
+func (w *World) orders(m *Machine, q request, reply answer) {
+	w.mu.Lock()
+	now := w.now()
+	wait := max(m.hungTill-now, m.late)
+	if m.dead || now < m.boots {
+		w.mu.Unlock()
+		reply(504, nil)
+		return
+	}
+	if wait > 0 {
 		if m.late > 0 {
 			w.stats.LateOrders++
 			m.late = 0
 		}
 		w.mu.Unlock()
-		if dead {
-			return 504, nil
-		}
-		select {
-		case <-time.After(wait):
-		case <-w.stop:
-			return 504, nil
-		}
+		w.ground.after(wait, func() { w.orders(m, q, reply) })
+		return
 	}
-	defer w.mu.Unlock()
-	now := w.now()
+	status, body := w.ordered(now, m, q)
+	w.mu.Unlock()
+	reply(status, body)
+}
+
+func (w *World) ordered(now time.Duration, m *Machine, q request) (int, any) {
 	w.expire(now, m)
 	if q.path == "/status" {
 		return 200, w.report(now, m)
@@ -395,39 +410,29 @@
 	}
 }
 
-// reports sends a worker's reports until the machine or the world ends.
+// reports sends a worker's next report when it is due, until the machine is gone.
 func (w *World) reports(m *Machine) {
-	defer w.done.Done()
-	client := &fasthttp.Client{Dial: fasthttp.Dial, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}
-	defer client.CloseIdleConnections()
 	gap := min(500*time.Millisecond, seconds(w.cfg.Workers.ReportS/4))
-	for {
-		select {
-		case <-w.stop:
-			return
-		case <-time.After(step):
-		}
-		w.mu.Lock()
-		now := w.now()
-		if m.dead {
-			w.mu.Unlock()
-			return
-		}
-		due := now >= m.next || (now-m.lastSent >= gap && m.said() != m.reported)
-		if now < m.boots || now < m.hungTill || !due {
-			w.mu.Unlock()
-			continue
-		}
-		w.expire(now, m)
-		r := w.report(now, m)
-		body, _ := json.Marshal(r)
-		m.reported, m.lastSent = m.said(), now
-		m.next = now + seconds(w.cfg.Workers.ReportS*(0.75+0.5*w.rng.Float64()))
-		to := w.settings[m.keeper].Public
+	w.mu.Lock()
+	now := w.now()
+	if m.dead {
 		w.mu.Unlock()
-		status, answer := send(client, to, "/checkin", "", body)
-		w.answered(m, now, r.Session, status, answer)
+		return
 	}
+	due := now >= m.next || (now-m.lastSent >= gap && m.said() != m.reported)
+	if now < m.hungTill || !due {
+		w.mu.Unlock()
+		w.ground.after(max(w.cfg.Step, m.hungTill-now), func() { w.reports(m) })
+		return
+	}
+	w.expire(now, m)
+	r := w.report(now, m)
+	body, _ := json.Marshal(r)
+	m.reported, m.lastSent = m.said(), now
+	m.next = now + seconds(w.cfg.Workers.ReportS*(0.75+0.5*w.rng.Float64()))
+	to := w.settings[m.keeper].Public
+	w.mu.Unlock()
+	w.ground.ask(to, "/checkin", body, func(status int, answer []byte) { w.answered(m, now, r.Session, status, answer) })
 }
 
 // said is what of a report changes with its tasks.
@@ -445,12 +450,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.now()
-	for now < m.hungTill && !m.dead { // it reads the answer once it resumes
-		w.mu.Unlock()
-		time.Sleep(step)
-		w.mu.Lock()
-		now = w.now()
+	if now < m.hungTill && !m.dead { // it reads the answer once it resumes
+		w.ground.after(m.hungTill-now, func() { w.answered(m, sent, session, status, body) })
+		return
 	}
+	defer w.ground.after(w.cfg.Step, func() { w.reports(m) })
 	w.expire(now, m)
 	if m.dead || m.session != session || now-sent > 4*time.Second {
 		return
--- a/internal/world/script.go
+++ b/internal/world/script.go
@@ -15,6 +15,8 @@
 	At   time.Duration
 	Text string
 	Do   func(*World)
+	// Simulated tells that it can be played in a simulation only.
+	Simulated bool
 }
 
 // faults are the words of a script, with how many arguments each takes: times, but for refuse's
@@ -33,6 +35,19 @@
 	"licence-down": {"t", func(d time.Duration, _ int) func(*World) {
 		return during(d, func(w *World, on bool) { w.Licences.Down(on) })
 	}},
+	"kill-leader":  {"t", func(d time.Duration, _ int) func(*World) { return toLeader(d, (*World).KillController) }},
+	"drain-leader": {"t", func(d time.Duration, _ int) func(*World) { return toLeader(d, drainNow) }},
+	"freeze-leader": {"t", func(d time.Duration, _ int) func(*World) {
+		return toLeader(0, func(w *World, i int) { w.FreezeController(i, d) })
+	}},
+	"kill-controllers": {"t", func(d time.Duration, _ int) func(*World) {
+		return func(w *World) {
+			for i := range w.cfg.Controllers {
+				w.KillController(i)
+				w.ground.after(d, func() { w.StartController(i) })
+			}
+		}
+	}},
 	"refuse": {"nt", func(d time.Duration, n int) func(*World) {
 		return during(d, func(w *World, on bool) {
 			if n < w.cfg.Controllers {
@@ -42,17 +57,36 @@
 	}},
 }
 
+// simulated are the faults that do something to controllers: a simulation's only.
+var simulated = map[string]bool{"kill-leader": true, "drain-leader": true, "freeze-leader": true, "kill-controllers": true}
+
+func drainNow(w *World, i int) { w.DrainController(i, func() {}) }
+
+// toLeader does something to the controller that leads, and starts it again after a time.
+func toLeader(again time.Duration, do func(*World, int)) func(*World) {
+	return func(w *World) {
+		i, _ := w.Leader()
+		if i < 0 {
+			return
+		}
+		do(w, i)
+		if again > 0 {
+			var restart func()
+			restart = func() {
+				if w.StartController(i); w.sim.nodes[i].drains {
+					w.ground.after(w.cfg.Step, restart) // it still drains
+				}
+			}
+			w.ground.after(again, restart)
+		}
+	}
+}
+
 // during switches something on for a time.
 func during(d time.Duration, set func(*World, bool)) func(*World) {
 	return func(w *World) {
 		set(w, true)
-		go func() {
-			select {
-			case <-time.After(d):
-				set(w, false)
-			case <-w.stop:
-			}
-		}()
+		w.ground.after(d, func() { set(w, false) })
 	}
 }
 
@@ -100,23 +134,18 @@
 				return nil, wrong(fs[2+i] + " is not what belongs there")
 			}
 		}
-		out = append(out, Fault{at, strings.Join(fs[1:], " "), f.make(d, n)})
+		out = append(out, Fault{at, strings.Join(fs[1:], " "), f.make(d, n), simulated[fs[1]]})
 	}
 	sort.SliceStable(out, func(a, b int) bool { return out[a].At < out[b].At })
 	return out, lines.Err()
 }
 
-// Play plays a script from now on; say is told of each fault. It returns when all are played or
-// the world ends.
+// Play plays a script from now on; say is told of each fault.
 func (w *World) Play(script []Fault, say func(Fault)) {
-	began := time.Now()
 	for _, f := range script {
-		select {
-		case <-w.stop:
-			return
-		case <-time.After(time.Until(began.Add(f.At))):
-		}
-		say(f)
-		f.Do(w)
+		w.ground.after(f.At, func() {
+			say(f)
+			f.Do(w)
+		})
 	}
 }
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -64,18 +64,26 @@
 // woken tells those who follow that a key has changed.
 func (w *World) woken(before uint64) {
 	if w.svc.Rev != before {
-		close(w.changed)
-		w.changed = make(chan struct{})
+		for _, f := range w.changed {
+			w.ground.after(0, f)
+		}
+		w.changed = nil
 	}
 }
 
 // state answers one controller's request to the state service.
-func (w *World) state(controller int, q request) (int, any) {
+func (w *World) state(controller int, q request, reply answer) {
 	if q.path == "/follow" {
-		return w.follow(controller, q)
+		w.follow(controller, q, reply)
+		return
 	}
 	w.mu.Lock()
-	defer w.mu.Unlock()
+	status, body := w.stateNow(controller, q)
+	w.mu.Unlock()
+	reply(status, body)
+}
+
+func (w *World) stateNow(controller int, q request) (int, any) {
 	if w.down || w.cut[controller] {
 		return 503, nil
 	}
@@ -107,44 +115,62 @@
 	return r.Status, r.Body
 }
 
-// follow waits until something with the prefix has changed.
-func (w *World) follow(controller int, q request) (int, any) {
+// follow answers once something with the prefix has changed, or the wait is over. An open watch
+// waits through an outage.
+func (w *World) follow(controller int, q request, reply answer) {
 	since, _ := strconv.ParseUint(q.query.Get("since"), 10, 64)
 	ms, _ := strconv.Atoi(q.query.Get("wait_ms"))
 	prefix := q.query.Get("starts")
-	late := time.NewTimer(time.Duration(ms) * time.Millisecond)
-	defer late.Stop()
-	for first, over := true, false; ; first = false {
+	w.mu.Lock()
+	ends := w.now() + time.Duration(ms)*time.Millisecond
+	if w.down || w.cut[controller] || !w.reqs.take(w.now(), 1) {
+		w.mu.Unlock()
+		reply(503, nil)
+		return
+	}
+	w.mu.Unlock()
+	var look func()
+	var mine uint64 // which of the two that may wake it is the newest: the other is void
+	look = func() {
 		w.mu.Lock()
-		deaf := w.down || w.cut[controller]
-		if first && (deaf || !w.reqs.take(w.now(), 1)) {
+		now := w.now()
+		if w.down || w.cut[controller] {
 			w.mu.Unlock()
-			return 503, nil
+			w.ground.after(50*time.Millisecond, look)
+			return
 		}
 		evs, ok := w.svc.Since(prefix, since)
-		rev, changed := w.svc.Rev, w.changed
-		w.mu.Unlock()
+		rev := w.svc.Rev
 		switch {
-		case deaf: // an open watch waits through an outage
 		case !ok:
-			return 410, nil
-		case len(evs) > 0 || over:
+			w.mu.Unlock()
+			reply(410, nil)
+		case len(evs) > 0 || now >= ends:
+			w.mu.Unlock()
 			if evs == nil {
 				evs = []store.Event{}
 			}
-			return 200, map[string]any{"epoch": rev, "events": evs}
-		}
-		pause := time.NewTimer(50 * time.Millisecond) // to look again after an outage
-		select {
-		case <-changed:
-		case <-late.C:
-			over = true
-		case <-pause.C:
-		case <-w.stop:
-			return 503, nil
+			reply(200, map[string]any{"epoch": rev, "events": evs})
+		default:
+			mine++
+			turn := mine
+			once := func() {
+				w.mu.Lock()
+				void := mine != turn
+				if !void {
+					mine++
+				}
+				w.mu.Unlock()
+				if !void {
+					look()
+				}
+			}
+			w.changed = append(w.changed, once)
+			w.mu.Unlock()
+			w.ground.after(ends-now, once)
 		}
-		pause.Stop()
 	}
+	look()
 }
 
 // listed is a machine as the cloud lists it.
--- /dev/null
+++ b/internal/world/sim.go
@@ -0,0 +1,323 @@
+package world
+
+import (
+	"container/heap"
+	"encoding/json"
+	"math/rand/v2"
+	"net/url"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/controller"
+	"github.com/harewalk/harewalk/internal/httpio"
+)
+
+// Sim is a simulation: one queue of events in simulated time, in which the world and the real code
+// of the controllers run on one goroutine. The same seed gives the same run. Processors take no time in it.
+type Sim struct {
+	w     *World
+	t     time.Duration
+	queue events
+	seq   uint64
+	rng   *rand.Rand
+	at    map[string]handler
+	nodes []*node
+	mean  time.Duration // of a message on its way
+	lost  float64       // share of messages that are lost
+	late  float64       // share of requests that arrive after lag at most, perhaps when nobody waits any more
+	lag   time.Duration
+}
+
+// Network says what happens to messages from now on: the mean time on the way, the share of messages lost,
+// and the share of requests that arrive late, by up to lag, long after who sent them gave up.
+func (w *World) Network(mean time.Duration, lost, late float64, lag time.Duration) {
+	w.sim.mean, w.sim.lost, w.sim.late, w.sim.lag = mean, lost, late, lag
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	f   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(a, b int) bool {
+	return e[a].at < e[b].at || (e[a].at == e[b].at && e[a].seq < e[b].seq)
+}
+func (e events) Swap(a, b int) { e[a], e[b] = e[b], e[a] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	(*e)[len(*e)-1] = event{}
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// node is one controller of a simulation.
+type node struct {
+	sim     *Sim
+	i       int
+	s       *config.Settings
+	c       *controller.Simulated // nil while it does not run
+	born    time.Duration
+	frozen  time.Duration // nothing happens in it before
+	lives   int           // times it was started
+	drains  bool
+	epochMS int64
+}
+
+// Simulated starts a world in simulated time, with its controllers; operator, unless it is nil, adds
+// operators' settings to each.
+func Simulated(cfg Config, operator func(*config.Settings) error) (*World, error) {
+	s := &Sim{rng: rand.New(rand.NewPCG(cfg.Seed, 13)), at: map[string]handler{}, mean: 2 * time.Millisecond}
+	w, err := start(cfg, s)
+	if err != nil {
+		return nil, err
+	}
+	s.w, w.sim = w, s
+	for i := range w.settings {
+		set, err := config.Parse(w.Settings(i))
+		if err == nil && operator != nil {
+			err = operator(set)
+		}
+		if err != nil {
+			return nil, err
+		}
+		n := &node{sim: s, i: i, s: set, epochMS: 1_800_000_000_000}
+		s.nodes = append(s.nodes, n)
+		s.at[set.Public] = n.ask
+	}
+	for i := range s.nodes {
+		w.StartController(i)
+	}
+	return w, nil
+}
+
+func (s *Sim) now() time.Duration { return s.t }
+
+func (s *Sim) after(d time.Duration, f func()) {
+	s.seq++
+	heap.Push(&s.queue, event{s.t + max(0, d), s.seq, f})
+}
+
+func (s *Sim) listen(name string, h handler) (string, error) {
+	addr := name + ":80"
+	s.at[addr] = h
+	return addr, nil
+}
+
+func (s *Sim) close() { s.queue = nil }
+
+// Advance lets time pass, by d.
+func (w *World) Advance(d time.Duration) {
+	s := w.sim
+	end := s.t + d
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		e := heap.Pop(&s.queue).(event)
+		s.t = e.at
+		e.f()
+	}
+	s.t = end
+}
+
+// After calls f in the world's time.
+func (w *World) After(d time.Duration, f func()) { w.ground.after(d, f) }
+
+// Ask sends a user's request to a controller; status 0: no answer came.
+func (w *World) Ask(i int, method, path string, body []byte, then func(status int, body []byte)) {
+	w.sim.exchange(w.sim.nodes[i].s.Public, request{method: method, path: path, body: body}, 5*time.Second, then)
+}
+
+func (s *Sim) ask(addr, path string, body []byte, then func(int, []byte)) {
+	s.exchange(addr, request{method: "POST", path: path, body: body}, 4*time.Second, then)
+}
+
+// exchange carries a request there and an answer back, each after a time of its own. After the time
+// limit the answer is nobody's any more, though the request may be carried out.
+func (s *Sim) exchange(addr string, q request, limit time.Duration, then func(int, []byte)) {
+	over := false
+	finish := func(status int, body []byte) {
+		if !over {
+			over = true
+			then(status, body)
+		}
+	}
+	s.after(limit, func() { finish(0, nil) })
+	way := jitter(s.rng, s.mean)
+	if s.late > 0 && s.rng.Float64() < s.late {
+		way += time.Duration(s.rng.Float64() * float64(s.lag))
+	}
+	if s.lost > 0 && s.rng.Float64() < s.lost {
+		return
+	}
+	s.after(way, func() {
+		h := s.at[addr]
+		if h == nil {
+			finish(0, nil)
+			return
+		}
+		h(q, func(status int, body any) {
+			raw, ok := body.([]byte)
+			if !ok {
+				raw, _ = json.Marshal(body)
+			}
+			if s.lost == 0 || s.rng.Float64() >= s.lost {
+				s.after(jitter(s.rng, s.mean), func() { finish(status, raw) })
+			}
+		})
+	})
+}
+
+// live calls f in a controller's present life, later if it is frozen, never if it has ended.
+func (n *node) live(f func()) func() {
+	life := n.lives
+	var g func()
+	g = func() {
+		switch {
+		case n.c == nil || n.lives != life:
+		case n.frozen > n.sim.t:
+			n.sim.after(n.frozen-n.sim.t, g)
+		default:
+			f()
+		}
+	}
+	return g
+}
+
+// ask is the controller's HTTP side.
+func (n *node) ask(q request, reply answer) {
+	if n.c == nil {
+		reply(0, nil)
+		return
+	}
+	n.live(func() {
+		n.c.Ask(q.method, q.path, q.body, func(status int, body []byte) { reply(status, body) })
+	})()
+}
+
+// way is a controller's way out; it belongs to one life.
+type way struct {
+	n     *node
+	limit int
+	open  int
+}
+
+// Send implements httpio.Sender.
+func (y *way) Send(addr string, r httpio.Request, done func(httpio.Response)) {
+	n := y.n
+	if y.open >= y.limit {
+		n.sim.after(0, n.live(func() { done(httpio.Response{Err: httpio.ErrBusy, Refused: true}) }))
+		return
+	}
+	y.open++
+	u, err := url.Parse(r.Path)
+	if err != nil {
+		panic(err) // a path of the controller's own making
+	}
+	life := n.lives
+	n.sim.exchange(addr, request{method: r.Method, path: u.Path, query: u.Query(), body: r.Body}, r.Timeout, func(status int, body []byte) {
+		if n.lives != life {
+			return
+		}
+		y.open--
+		n.live(func() { // whoever stands still hears of it later
+			if status == 0 {
+				done(httpio.Response{Err: httpio.ErrLost})
+				return
+			}
+			done(httpio.Response{Status: status, Body: body})
+		})()
+	})
+}
+
+// StartController starts a controller that does not run, with nothing but its settings.
+func (w *World) StartController(i int) {
+	n, s := w.sim.nodes[i], w.sim
+	if n.c != nil {
+		return
+	}
+	n.lives++
+	n.born, n.frozen = s.t, 0
+	var links []func([]byte)
+	for _, p := range s.nodes {
+		if p != n {
+			links = append(links, func(raw []byte) {
+				s.after(jitter(s.rng, s.mean), func() {
+					if p.c != nil {
+						p.live(func() { p.c.Hear(raw) })()
+					}
+				})
+			})
+		}
+	}
+	n.c = controller.Simulate(n.s, controller.Outside{Now: func() time.Duration { return s.t - n.born }, EpochMS: n.epochMS + n.born.Milliseconds(),
+		Seed: s.rng.Uint64(), Sender: func(limit int) httpio.Sender { return &way{n: n, limit: limit} }}, links...)
+	var tick func()
+	tick = n.live(func() {
+		n.c.Tick()
+		s.after(controller.TickEvery, tick)
+	})
+	s.after(jitter(s.rng, controller.TickEvery), tick)
+}
+
+// KillController ends a controller without notice.
+func (w *World) KillController(i int) {
+	if n := w.sim.nodes[i]; n.c != nil {
+		n.c = nil
+		w.stats.Kills++
+	}
+}
+
+// DrainController does to a controller what SIGTERM does, and calls ended when its process has ended.
+func (w *World) DrainController(i int, ended func()) {
+	n := w.sim.nodes[i]
+	if n.c == nil {
+		ended()
+		return
+	}
+	out := n.c.Drain()
+	n.drains = true
+	w.stats.Drains++
+	var look func()
+	life := n.lives
+	look = func() {
+		select {
+		case <-out:
+			n.c, n.drains = nil, false
+			ended()
+		default:
+			if n.c == nil || n.lives != life { // killed while it drained
+				n.drains = false
+				ended()
+				return
+			}
+			w.sim.after(w.cfg.Step, look)
+		}
+	}
+	look()
+}
+
+// Runs tells whether a controller runs.
+func (w *World) Runs(i int) bool { return w.sim.nodes[i].c != nil }
+
+// FreezeController lets a controller stand still for a time: what comes in waits, and its steady clock
+// has jumped when it goes on.
+func (w *World) FreezeController(i int, d time.Duration) {
+	w.sim.nodes[i].frozen = w.sim.t + d
+	w.stats.Freezes++
+}
+
+// SetWall moves a controller's clock on the wall; it counts from its next start.
+func (w *World) SetWall(i int, d time.Duration) { w.sim.nodes[i].epochMS += d.Milliseconds() }
+
+// Leading lists the controllers that lead and may act now, as they believe themselves.
+func (w *World) Leading() (ix []int) {
+	for i, n := range w.sim.nodes {
+		if n.c != nil && n.frozen <= w.sim.t && n.c.Leads() {
+			ix = append(ix, i)
+		}
+	}
+	return ix
+}
--- /dev/null
+++ b/internal/world/sim_test.go
@@ -0,0 +1,248 @@
+package world
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/jobs"
+)
+
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	os.Exit(m.Run())
+}
+
+// simUser follows one job of a simulation and keeps what it was told.
+type simUser struct {
+	w      *World
+	rng    *rand.Rand
+	spec   *jobs.Spec
+	told   []string // final answers
+	asked  bool
+	status int
+}
+
+func (u *simUser) ask(method, path string, body []byte, then func(int, string)) {
+	u.w.Ask(u.rng.IntN(u.w.Controllers()), method, path, body, func(status int, raw []byte) {
+		var v view
+		_ = json.Unmarshal(raw, &v)
+		then(status, v.Stance)
+	})
+}
+
+func (u *simUser) submit() {
+	u.w.Know(u.spec)
+	body, _ := json.Marshal(u.spec)
+	var again func()
+	again = func() {
+		u.ask("POST", "/v2/runs", body, func(status int, _ string) {
+			if u.status = status; status == 200 || status == 201 {
+				u.poll()
+				return
+			}
+			u.w.After(time.Second, again)
+		})
+	}
+	again()
+}
+
+func (u *simUser) cancel() {
+	u.asked = true
+	u.ask("POST", "/v2/runs/"+u.spec.ID+"/abort", []byte("{}"), func(status int, stance string) {
+		switch {
+		case status != 200:
+			u.w.After(time.Second, u.cancel)
+		case stance == "cancelled":
+			u.w.Cancelled(u.spec.ID)
+		}
+	})
+}
+
+func (u *simUser) poll() {
+	u.ask("GET", "/v2/runs/"+u.spec.ID, nil, func(status int, stance string) {
+		if status == 404 {
+			u.w.Break("forgotten: %s", u.spec.ID)
+		}
+		if status == 200 && (stance == "done" || stance == "cancelled") {
+			if u.told = append(u.told, stance); stance == "done" && len(u.told) == 1 && !u.w.AllDone(u.spec.ID, u.spec.Tasks) {
+				u.w.Break("not_done: %s", u.spec.ID)
+			}
+		} else if status == 200 && len(u.told) > 0 {
+			u.w.Break("went_back: %s is %s again", u.spec.ID, stance)
+		}
+		if len(u.told) < 4 {
+			u.w.After(time.Duration(500+u.rng.IntN(1500))*time.Millisecond, u.poll)
+		}
+	})
+}
+
+// drawJob makes any kind of job that fits the world of a chaos run.
+func drawJob(rng *rand.Rand, n int) *jobs.Spec {
+	s := &jobs.Spec{ID: fmt.Sprintf("req-%06d", n), Class: "c", Team: []string{"red", "blue"}[rng.IntN(2)], Kind: jobs.Array,
+		Priority: []string{"prod", "urgent", "standard", "best_effort"}[rng.IntN(4)], Tasks: 1 + rng.IntN(12), CPUs: float64(1 + rng.IntN(3)), Mem: 1,
+		Image: fmt.Sprintf("i-%d", rng.IntN(3)), ImageGB: 2, EstimateS: 1 + 8*rng.Float64(), Spot: rng.IntN(2) == 0}
+	switch rng.IntN(5) {
+	case 0:
+		s.Kind, s.Tasks = jobs.Gang, 2+rng.IntN(4)
+	case 1:
+		s.CheckpointS, s.SaveS = 1, 0.5
+	case 2:
+		s.Licences = map[string]int{"transcribe": 1}
+	}
+	return s
+}
+
+const chaosPools = `licence "transcribe" {
+  count    = 12
+  server   = "licences:80"
+  poll_s   = 0.5
+  linger_s = 4.5
+}
+`
+
+// chaos plays a few simulated minutes in which machines, controllers, the state service, the cloud
+// and the network fail at random, several at once, then lets everything heal, and returns the world and its users.
+func chaos(t *testing.T, seed uint64, njobs int, faulty time.Duration) (*World, []*simUser) {
+	t.Helper()
+	w, err := Simulated(Config{Seed: seed, Machines: 12, Controllers: 3 + 2*int(seed%2), Pools: map[string]int{"transcribe": 12}, Step: 20 * time.Millisecond,
+		Teams: []config.Team{{Name: "red", CPUs: 20, CPUsMax: 60}, {Name: "blue", CPUs: 20, CPUsMax: 100}}},
+		func(s *config.Settings) error { return s.ReadOperator("o.hcl", []byte(chaosPools)) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	rng := rand.New(rand.NewPCG(seed, 31))
+	w.Network(time.Duration(1+rng.IntN(20))*time.Millisecond, 0.01, 0.01, 8*time.Second)
+	var users []*simUser
+	for i := range njobs {
+		u := &simUser{w: w, rng: rng, spec: drawJob(rng, i+1)}
+		users = append(users, u)
+		at := time.Duration(rng.Int64N(int64(faulty)))
+		w.After(at, u.submit)
+		if rng.IntN(6) == 0 {
+			w.After(at+time.Duration(rng.IntN(20000))*time.Millisecond, u.cancel)
+		}
+	}
+	secs := func(most int) time.Duration { return time.Duration(rng.IntN(most*1000)) * time.Millisecond }
+	n := w.Controllers()
+	for at := secs(4); at < faulty; at += secs(6) {
+		i, d := rng.IntN(n), 500*time.Millisecond+secs(9)
+		what := rng.IntN(12)
+		w.After(at, func() {
+			switch what {
+			case 0:
+				w.CrashTask()
+			case 1:
+				w.KillMachine()
+			case 2:
+				w.Hang(d)
+			case 3:
+				w.Delay(d)
+			case 4:
+				w.Notice(d)
+			case 5:
+				w.KillController(i)
+				w.After(d, func() { w.StartController(i) })
+			case 6:
+				if l, _ := w.Leader(); l >= 0 {
+					w.KillController(l)
+					w.After(d/3, func() { w.StartController(l) })
+				}
+			case 7:
+				if l, _ := w.Leader(); l >= 0 && w.Runs(l) {
+					w.FreezeController(l, d)
+				}
+			case 8:
+				w.DrainController(i, func() { w.After(d/4, func() { w.StartController(i) }) })
+			case 9:
+				during(d, (*World).Outage)(w)
+			case 10:
+				during(d, func(w *World, on bool) { w.Refuse(i, on) })(w)
+			case 11:
+				during(d, (*World).CloudOutage)(w)
+			}
+		})
+	}
+	// A clock on the wall that is off by an hour, forward or back, from a controller's next start on.
+	w.SetWall(rng.IntN(n), time.Duration(rng.IntN(3)-1)*time.Hour)
+	w.Advance(faulty + 25*time.Second)
+	w.Network(2*time.Millisecond, 0, 0, 0)
+	for i := range n {
+		w.StartController(i)
+	}
+	for end := w.Now() + 10*time.Minute; w.Now() < end; w.Advance(5 * time.Second) {
+		open := 0
+		for _, u := range users {
+			if len(u.told) < 4 {
+				open++
+			}
+		}
+		if open == 0 {
+			break
+		}
+	}
+	return w, users
+}
+
+// The real code of all controllers through random faults that overlap, in simulated time: no rule of the
+// protocol breaks, every accepted job gets one final answer that never changes, and afterwards
+// everything comes to its end.
+func TestChaos(t *testing.T) {
+	seeds := 12
+	if os.Getenv("HAREWALK_LONG") != "" {
+		seeds = 400
+	}
+	var all Stats
+	ends := map[string]int{}
+	for seed := range seeds {
+		w, users := chaos(t, uint64(seed+1), 60, 2*time.Minute)
+		for _, b := range w.Broken() {
+			t.Errorf("seed %d: %s", seed+1, b)
+		}
+		for _, u := range users {
+			switch {
+			case len(u.told) == 0:
+				t.Errorf("seed %d: %s is not over (status %d)", seed+1, u.spec.ID, u.status)
+			case u.told[0] == "cancelled" && !u.asked:
+				t.Errorf("seed %d: %s is cancelled, and nobody asked for it", seed+1, u.spec.ID)
+			default:
+				ends[u.told[0]]++
+			}
+			for _, s := range u.told {
+				if s != u.told[0] {
+					t.Errorf("seed %d: %s was told %v", seed+1, u.spec.ID, u.told)
+				}
+			}
+		}
+		s := w.Stats()
+		all.Starts, all.Crashed, all.MachinesKilled, all.Hung = all.Starts+s.Starts, all.Crashed+s.Crashed, all.MachinesKilled+s.MachinesKilled, all.Hung+s.Hung
+		all.Kills, all.Freezes, all.Drains, all.LateOrders = all.Kills+s.Kills, all.Freezes+s.Freezes, all.Drains+s.Drains, all.LateOrders+s.LateOrders
+		if t.Failed() {
+			break
+		}
+	}
+	t.Logf("%d seeds: %v; %+v", seeds, ends, all)
+	if all.Kills == 0 || all.Freezes == 0 || all.Drains == 0 || all.Hung == 0 || all.MachinesKilled == 0 || ends["cancelled"] == 0 {
+		t.Error("a kind of fault never came")
+	}
+}
+
+// The same seed gives the same run, to the last event.
+func TestSimulationRepeats(t *testing.T) {
+	digest := func() string {
+		w, users := chaos(t, 7, 25, 40*time.Second)
+		s := fmt.Sprint(w.Stats(), w.Now(), w.Starts())
+		for _, u := range users {
+			s += fmt.Sprint(u.told)
+		}
+		return s
+	}
+	if a, b := digest(), digest(); a != b {
+		t.Fatalf("two runs differ:\n%s\n%s", a, b)
+	}
+}
--- a/internal/world/users.go
+++ b/internal/world/users.go
@@ -149,6 +149,9 @@
 	}
 }
 
+// Break notes that a rule did not hold, as a user saw it.
+func (w *World) Break(format string, a ...any) { w.broke(format, a...) }
+
 func (w *World) broke(format string, a ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -4,7 +4,8 @@
 // development cluster and experiments; it knows the truth, and Broken says which rule did not
 // hold.
 //
-// A World belongs to no event loop: one mutex guards all of it, a ticker lets time pass.
+// A World belongs to no event loop: one mutex guards all of it. It stands on real time and loopback
+// sockets, or on a simulation, in which the controllers run too and hours pass in seconds.
 package world
 
 import (
@@ -12,12 +13,10 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/url"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/gofiber/fiber/v3"
-
 	"github.com/harewalk/harewalk/internal/capacity"
 	"github.com/harewalk/harewalk/internal/config"
 	"github.com/harewalk/harewalk/internal/jobs"
@@ -40,6 +39,8 @@
 	Pools map[string]int
 	// Speed is how many times faster tasks run than their owners estimate.
 	Speed float64
+	// Step is how often time passes for machines and holds.
+	Step time.Duration
 	// Linger is how long it counts a holder that it hears no more.
 	Linger time.Duration
 }
@@ -57,6 +58,7 @@
 	c.Machines = or(c.Machines, 20)
 	c.Linger = or(c.Linger, 4*time.Second)
 	c.Speed = or(c.Speed, 1)
+	c.Step = or(c.Step, 10*time.Millisecond)
 	if c.Zones == nil {
 		c.Zones = []string{"a", "b"}
 	}
@@ -73,11 +75,11 @@
 
 // World is what is played.
 type World struct {
-	cfg   Config
-	start time.Time
-	stop  chan struct{}
-	done  sync.WaitGroup
-	apps  []*fiber.App
+	cfg    Config
+	ground ground
+	sim    *Sim          // the ground, if it is a simulation
+	stop   chan struct{} // closed at the end
+	done   sync.WaitGroup
 
 	mu       sync.Mutex
 	rng      *rand.Rand
@@ -85,7 +87,7 @@
 	settings []config.Settings
 
 	svc     *state.Service
-	changed chan struct{} // closed at every change of a key
+	changed []func() // who waits for the next change of a key
 	reqs    bucket
 	writes  bucket
 	down    bool
@@ -105,6 +107,7 @@
 	// Licences is the licence server.
 	Licences *LicenceServer
 	stats    Stats
+	spent    float64                  // for machines that are gone
 	began    []time.Duration          // when tasks started
 	known    map[string]time.Duration // jobs, since when
 	waits    map[string]time.Duration // from there to a job's first start
@@ -113,6 +116,8 @@
 // Stats counts what happened.
 type Stats struct {
 	Starts, Done, Crashed, MachinesKilled, Hung, LeaseEnds, LateOrders, ServerEnds int
+	// Of controllers, in a simulation.
+	Kills, Freezes, Drains int
 }
 
 // progress is what is kept of a task outside its machine.
@@ -121,32 +126,38 @@
 	saved float64 // seconds of work
 }
 
-// New starts a world without machines and controllers.
-func New(cfg Config) (*World, error) {
+// New starts a world without machines and controllers, in real time and on loopback.
+func New(cfg Config) (*World, error) { return start(cfg, newLoopback()) }
+
+func start(cfg Config, on ground) (*World, error) {
 	cfg.defaults()
-	w := &World{cfg: cfg, start: time.Now(), stop: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, 7)),
-		svc: state.New(), changed: make(chan struct{}), cut: make([]bool, cfg.Controllers),
+	w := &World{cfg: cfg, ground: on, stop: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, 7)),
+		svc: state.New(), cut: make([]bool, cfg.Controllers),
 		byName: map[string]*Machine{}, claims: map[string][]string{}, specs: map[string]*jobs.Spec{},
 		told: map[string]time.Duration{}, tasks: map[string]*progress{}, notebooks: map[string]*Notebook{},
 		known: map[string]time.Duration{}, waits: map[string]time.Duration{}}
 	w.reqs, w.writes = bucket{rate: cfg.State.RPS}, bucket{rate: cfg.State.WriteRPS}
 	w.Licences = newLicenceServer(w, cfg.Pools, cfg.Linger)
-	cloud, err := w.serve(w.cloud)
+	cloud, err := on.listen("cloud", at(w.cloud))
 	if err != nil {
 		return nil, err
 	}
-	if w.Licences.Addr, err = w.serve(w.Licences.answer); err != nil {
+	if w.Licences.Addr, err = on.listen("licences", at(w.Licences.answer)); err != nil {
 		return nil, err
 	}
 	for i := range cfg.Controllers {
-		svc, err := w.serve(func(q request) (int, any) { return w.state(i, q) })
+		svc, err := on.listen(fmt.Sprintf("state-%d", i), func(q request, reply answer) { w.state(i, q, reply) })
 		if err != nil {
 			return nil, err
 		}
-		public, e1 := freePort()
-		back, e2 := freePort()
-		if e1 != nil || e2 != nil {
-			return nil, fmt.Errorf("no free port: %v, %v", e1, e2)
+		public, back := fmt.Sprintf("node-%d:80", i), fmt.Sprintf("node-%d:81", i)
+		if _, real := on.(*loopback); real {
+			var e1, e2 error
+			public, e1 = freePort()
+			back, e2 = freePort()
+			if e1 != nil || e2 != nil {
+				return nil, fmt.Errorf("no free port: %v, %v", e1, e2)
+			}
 		}
 		s := config.Settings{Node: fmt.Sprintf("node-%d", i), Zone: cfg.Zones[i%len(cfg.Zones)], Public: public, Back: back,
 			Services: config.Services{Cloud: cloud, State: svc}}
@@ -162,11 +173,15 @@
 			}
 		}
 	}
-	w.done.Add(1)
-	go w.run()
+	on.after(cfg.Step, w.pass)
 	return w, nil
 }
 
+// at makes a handler of one that answers at once.
+func at(f func(request) (int, any)) handler {
+	return func(q request, reply answer) { reply(f(q)) }
+}
+
 // freePort finds a loopback address that nobody listens on now.
 func freePort() (string, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -183,6 +198,9 @@
 	return raw
 }
 
+// Controllers is how many there are.
+func (w *World) Controllers() int { return w.cfg.Controllers }
+
 // Public is a controller's address for users.
 func (w *World) Public(i int) string { return w.settings[i].Public }
 
@@ -190,9 +208,7 @@
 func (w *World) Close() {
 	close(w.stop)
 	w.done.Wait()
-	for _, a := range w.apps {
-		_ = a.ShutdownWithTimeout(100 * time.Millisecond)
-	}
+	w.ground.close()
 }
 
 // Broken lists the rules that did not hold.
@@ -209,6 +225,56 @@
 	return w.stats
 }
 
+// Picture is what the world looks like at one moment.
+type Picture struct {
+	Machines           int     // up
+	CPUs, GPUs         float64 // of machines that are up
+	UsedCPUs, UsedGPUs float64 // of tasks on machines
+	Running            int     // tasks on machines
+	Cost               float64 // of all machines so far, from their renting on
+}
+
+// Look takes a picture.
+func (w *World) Look() (p Picture) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.now()
+	p.Cost = w.spent
+	for _, m := range w.machines {
+		if m.dead {
+			continue
+		}
+		p.Cost += m.cost(now)
+		if now < m.boots {
+			continue
+		}
+		p.Machines++
+		p.CPUs, p.GPUs = p.CPUs+m.typ.CPUs, p.GPUs+m.typ.GPUs
+		for _, k := range m.tasks {
+			if k.counted {
+				p.Running++
+				p.UsedCPUs, p.UsedGPUs = p.UsedCPUs+k.spec.CPUs, p.UsedGPUs+k.spec.GPUs
+			}
+		}
+	}
+	return p
+}
+
+// Starts lists when tasks started.
+func (w *World) Starts() []time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.began)
+}
+
+// FirstStart is when a job's first task started, after it was known; false: none has.
+func (w *World) FirstStart(id string) (time.Duration, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	d, ok := w.waits[id]
+	return d, ok
+}
+
 // Now is the world's time, from its start.
 func (w *World) Now() time.Duration { return w.now() }
 
@@ -243,61 +309,19 @@
 	}
 }
 
-func (w *World) now() time.Duration { return time.Since(w.start) }
-
-// request is one HTTP request to a part of the world.
-type request struct {
-	method, path string
-	query        url.Values
-	body         []byte
-}
-
-// serve answers HTTP on a loopback port of its own until the world ends.
-func (w *World) serve(answer func(request) (int, any)) (addr string, err error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	app := fiber.New(fiber.Config{IdleTimeout: 30 * time.Second})
-	app.All("/*", func(c fiber.Ctx) error {
-		u, err := url.Parse(c.OriginalURL())
-		if err != nil {
-			return c.SendStatus(400)
-		}
-		status, body := answer(request{c.Method(), u.Path, u.Query(), append([]byte(nil), c.Body()...)})
-		if raw, ok := body.([]byte); ok {
-			c.Set("Content-Type", "application/json")
-			return c.Status(status).Send(raw)
-		}
-		return c.Status(status).JSON(body)
-	})
-	w.apps = append(w.apps, app)
-	go func() { _ = app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true}) }()
-	return l.Addr().String(), nil
-}
+func (w *World) now() time.Duration { return w.ground.now() }
 
-// step is how often time passes for machines and holds.
-const step = 10 * time.Millisecond
-
-func (w *World) run() {
-	defer w.done.Done()
-	t := time.NewTicker(step)
-	defer t.Stop()
-	for {
-		select {
-		case <-w.stop:
-			return
-		case <-t.C:
-		}
-		w.mu.Lock()
-		now := w.now()
-		w.expireHolds(now)
-		w.Licences.expire(now)
-		for _, m := range w.machines {
-			w.live(now, m)
-		}
-		w.mu.Unlock()
+// pass lets a step of time pass.
+func (w *World) pass() {
+	w.mu.Lock()
+	now := w.now()
+	w.expireHolds(now)
+	w.Licences.expire(now)
+	for _, m := range w.machines {
+		w.live(now, m)
 	}
+	w.mu.Unlock()
+	w.ground.after(w.cfg.Step, w.pass)
 }
 
 // bucket bounds a rate, with bursts of a second's worth.
