Access: TLS for users and controllers with keys reloaded, tokens for users and operators

Need: whoever reached a controller could submit and cancel for any team, in the clear. A TLS listener beside the platform's, mutual TLS among controllers, files taken over within 5 s without a restart (half a change leaves what was there), users' tokens by their sums with teams or as operators; all off unless set. Excluded: one port for both, passwords, tokens in the state service (docs/access.md). Seen: handshakes of strangers refused on both sides; over loopback with three processes a job of another team, an operator's command by a user, plain HTTP and a revoked token are refused, new keys answer without a restart.

--- a/cmd/harewalk/list.go
+++ b/cmd/harewalk/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/url"
@@ -15,8 +16,7 @@
 	"github.com/harewalk/harewalk/internal/query"
 )
 
-func listCmd(server *string) *cobra.Command {
-	var o operator
+func listCmd(o *operator) *cobra.Command {
 	var where string
 	c := &cobra.Command{
 		Use: "list", Short: "List jobs, those that match a filter", Args: cobra.NoArgs,
@@ -25,7 +25,6 @@
 			"<, <=, > and >=. An error points at the column.",
 		Example: "  harewalk job list --where 'waiting > 0 and team = \"red\"'\n  harewalk job list --where 'stance = running and (class ~ audit or age_s > 3600)' -o json",
 		RunE: func(c *cobra.Command, _ []string) error {
-			o.server = *server
 			// What is wrong is said before anybody is asked.
 			if _, err := query.Parse(where, controller.ListFields); err != nil {
 				return coded{exitUsage, fmt.Errorf("--where, %w\n  %s", err, where)}
@@ -51,24 +50,23 @@
 		},
 	}
 	c.Flags().StringVar(&where, "where", "", "only jobs that match")
-	outputFlag(c.Flags(), &o.output)
 	return c
 }
 
-func watchCmd(server *string) *cobra.Command {
+func watchCmd(o *operator) *cobra.Command {
 	var every time.Duration
 	c := &cobra.Command{
 		Use: "watch ID", Short: "Follow a job to its end, a line for each change", Args: cobra.ExactArgs(1),
 		Long: "Follow a job until it is done (exit 0) or cancelled (exit 3). An answer that doesn't come is asked for again.",
 		RunE: func(c *cobra.Command, args []string) error {
-			return watch(c.OutOrStdout(), "http://"+*server+"/v2/runs/"+url.PathEscape(args[0]), max(every, 200*time.Millisecond))
+			return o.watch(c.OutOrStdout(), "/v2/runs/"+url.PathEscape(args[0]), max(every, 200*time.Millisecond))
 		},
 	}
 	c.Flags().DurationVar(&every, "every", 2*time.Second, "time between two questions, at least 200ms")
 	return c
 }
 
-func watch(out io.Writer, at string, every time.Duration) error {
+func (o *operator) watch(out io.Writer, at string, every time.Duration) error {
 	type view struct {
 		ID      string `json:"name_id"`
 		Stance  string `json:"stance"`
@@ -77,7 +75,12 @@
 	}
 	var was view
 	for ; ; time.Sleep(every) {
-		status, body, _, err := once("GET", at, nil)
+		a, err := o.once("GET", "", at, nil)
+		status, body := a.status, a.body
+		var c coded
+		if errors.As(err, &c) || untrusted(err) {
+			return err
+		}
 		var now view
 		switch {
 		case err != nil || status == 429 || status >= 500 || (status == 200 && json.Unmarshal(body, &now) != nil):
--- a/cmd/harewalk/main.go
+++ b/cmd/harewalk/main.go
@@ -2,20 +2,19 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	"net/url"
 	"os"
 	"os/signal"
 	"strings"
 	"syscall"
-	"time"
+	"text/tabwriter"
 
 	"github.com/spf13/cobra"
-	"github.com/valyala/fasthttp"
 
 	"github.com/harewalk/harewalk/internal/config"
 	"github.com/harewalk/harewalk/internal/controller"
@@ -62,7 +61,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(serveCmd(), checkCmd(), jobCmd(), adminCmd(), licenceCmd(), sessionCmd(), devCmd(), labCmd(), &cobra.Command{
+	cmd.AddCommand(serveCmd(), checkCmd(), jobCmd(), adminCmd(), licenceCmd(), sessionCmd(), tokenCmd(), devCmd(), labCmd(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "harewalk", version) },
 	})
@@ -170,10 +169,35 @@
 	return c
 }
 
+// jobView is a job as users are told of it.
+type jobView struct {
+	ID      string `json:"name_id"`
+	Stance  string `json:"stance"`
+	Done    *int   `json:"done,omitempty"`
+	Running *int   `json:"running,omitempty"`
+}
+
 func jobCmd() *cobra.Command {
-	var server string
-	job := &cobra.Command{Use: "job", Short: "Submit, query and cancel jobs"}
-	job.PersistentFlags().StringVar(&server, "server", "127.0.0.1:8080", "address of a controller or of the load balancer")
+	var o operator
+	job := &cobra.Command{Use: "job", Short: "Submit, query, follow and cancel jobs"}
+	o.flags(job)
+	one := func(c *cobra.Command, method, path string, body []byte) error {
+		raw, err := o.call(method, "/v2/runs"+path, body)
+		if err != nil {
+			return err
+		}
+		var v jobView
+		if err := json.Unmarshal(raw, &v); err != nil {
+			return coded{exitFailed, fmt.Errorf("an answer that is none: %w", err)}
+		}
+		return o.show(c.OutOrStdout(), v, func(t *tabwriter.Writer) {
+			counts := ""
+			if v.Done != nil && v.Running != nil {
+				counts = fmt.Sprintf("\t%d done, %d running", *v.Done, *v.Running)
+			}
+			fmt.Fprintf(t, "%s\t%s%s\n", v.ID, v.Stance, counts)
+		})
+	}
 	job.AddCommand(
 		&cobra.Command{
 			Use: "submit FILE", Short: "Submit the job in a JSON file (- for standard input)", Args: cobra.ExactArgs(1),
@@ -183,20 +207,20 @@
 				if err != nil {
 					return coded{exitUsage, err}
 				}
-				return call(c.OutOrStdout(), "POST", "http://"+server+"/v2/runs", body)
+				return one(c, "POST", "", body)
 			},
 		},
 		&cobra.Command{
 			Use: "get ID", Short: "Show what has become of a job", Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
-				return call(c.OutOrStdout(), "GET", "http://"+server+"/v2/runs/"+args[0], nil)
+				return one(c, "GET", "/"+url.PathEscape(args[0]), nil)
 			},
 		},
-		listCmd(&server), watchCmd(&server), whyCmd(&server),
+		listCmd(&o), watchCmd(&o), whyCmd(&o),
 		&cobra.Command{
 			Use: "cancel ID", Short: "Cancel a job", Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
-				return call(c.OutOrStdout(), "POST", "http://"+server+"/v2/runs/"+args[0]+"/abort", []byte("{}"))
+				return one(c, "POST", "/"+url.PathEscape(args[0])+"/abort", []byte("{}"))
 			},
 		},
 	)
@@ -209,62 +233,3 @@
 	}
 	return os.ReadFile(name)
 }
-
-// call sends a request, again while the service asks to come back, for up to a minute.
-func call(out io.Writer, method, url string, body []byte) error {
-	end := time.Now().Add(time.Minute)
-	for {
-		status, answer, wait, err := once(method, url, body)
-		if err == nil && status != 429 && status < 500 {
-			var pretty bytes.Buffer
-			if json.Indent(&pretty, answer, "", "  ") != nil {
-				pretty.Write(answer)
-			}
-			fmt.Fprintln(out, pretty.String())
-			switch {
-			case status < 300:
-				return nil
-			case status == 400 || status == 422:
-				return coded{exitRefused, fmt.Errorf("refused with status %d", status)}
-			default:
-				return coded{exitFailed, fmt.Errorf("status %d", status)}
-			}
-		}
-		if err == nil {
-			err = fmt.Errorf("status %d: %s", status, bytes.TrimSpace(answer))
-		}
-		if time.Now().Add(wait).After(end) {
-			return coded{exitFailed, fmt.Errorf("given up after a minute: %w", err)}
-		}
-		time.Sleep(wait)
-	}
-}
-
-// once asks without a token.
-func once(method, url string, body []byte) (status int, answer []byte, wait time.Duration, err error) {
-	return exchange(method, url, "", body)
-}
-
-// exchange sends one request, with a token if there is one; wait is when to come back, as the answer
-// asks.
-func exchange(method, url, token string, body []byte) (status int, answer []byte, wait time.Duration, err error) {
-	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer func() { fasthttp.ReleaseRequest(q); fasthttp.ReleaseResponse(p) }()
-	q.SetRequestURI(url)
-	q.Header.SetMethod(method)
-	if token != "" {
-		q.Header.Set("Authorization", "Bearer "+token)
-	}
-	if body != nil {
-		q.Header.SetContentType("application/json")
-		q.SetBody(body)
-	}
-	wait = time.Second
-	if err = fasthttp.DoDeadline(q, p, time.Now().Add(5*time.Second)); err != nil {
-		return 0, nil, wait, err
-	}
-	if s, e := time.ParseDuration(string(p.Header.Peek("Retry-After")) + "s"); e == nil && s > wait {
-		wait = min(s, 30*time.Second)
-	}
-	return p.StatusCode(), append([]byte(nil), p.Body()...), wait, nil
-}
--- a/cmd/harewalk/operator.go
+++ b/cmd/harewalk/operator.go
@@ -4,103 +4,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"os/user"
-	"slices"
-	"strings"
 	"text/tabwriter"
-	"time"
 
 	"github.com/spf13/cobra"
-	"github.com/spf13/pflag"
 	"go.yaml.in/yaml/v3"
 
 	"github.com/harewalk/harewalk/internal/licences"
 )
 
-// operator is how operators' commands reach a cluster.
-type operator struct {
-	server, tokenFile, output string
-	bearer                    string // in place of the operators' token
-}
-
-func (o *operator) flags(c *cobra.Command) {
-	c.PersistentFlags().StringVar(&o.server, "server", "127.0.0.1:8080", "address of any controller")
-	c.PersistentFlags().StringVar(&o.tokenFile, "token-file", os.Getenv("HAREWALK_TOKEN_FILE"),
-		"file with the operators' token (or $HAREWALK_TOKEN_FILE)")
-	outputFlag(c.PersistentFlags(), &o.output)
-}
-
-func (o *operator) token() (string, error) {
-	if o.bearer != "" {
-		return o.bearer, nil
-	}
-	if o.tokenFile == "" {
-		return "", nil
-	}
-	raw, err := os.ReadFile(o.tokenFile)
-	if err != nil {
-		return "", coded{exitUsage, fmt.Errorf("--token-file: %w", err)}
-	}
-	return strings.TrimSpace(string(raw)), nil
-}
-
-// ask sends a request to the controller that leads: whoever is asked names it. A request that
-// can't be taken now is sent again for up to a minute; a command is not, once its outcome is
-// open.
-func (o *operator) ask(method, path string, body, into any) error {
-	if !slices.Contains(outputs, o.output) {
-		return coded{exitUsage, fmt.Errorf("--output %q is none of %s", o.output, strings.Join(outputs, ", "))}
-	}
-	token, err := o.token()
-	if err != nil {
-		return err
-	}
-	var raw []byte
-	if body != nil {
-		raw, _ = json.Marshal(body)
-	}
-	server, last := o.server, error(nil)
-	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
-		status, answer, _, err := exchange(method, "http://"+server+path, token, raw)
-		if err != nil {
-			if server, last = o.server, err; body != nil {
-				return coded{exitFailed, fmt.Errorf("no answer from %s: look whether the command was carried out before giving it again: %w", server, err)}
-			}
-			continue
-		}
-		var said struct {
-			Error  string `json:"error"`
-			Leader string `json:"leader"`
-		}
-		_ = json.Unmarshal(answer, &said)
-		switch {
-		case status == 200 || status == 201:
-			return json.Unmarshal(answer, into)
-		case status == 421 && said.Leader != "":
-			server, last = said.Leader, fmt.Errorf("%s leads and does not answer", said.Leader)
-		case status == 503 || status == 429 || status == 421:
-			server, last = o.server, fmt.Errorf("%s", said.Error)
-		case status == 400 || status == 404:
-			if said.Error == "" {
-				said.Error = "the cluster has no such thing; is it switched on in its operators' settings?"
-			}
-			return coded{exitUsage, fmt.Errorf("%s", said.Error)}
-		default:
-			return coded{exitRefused, fmt.Errorf("%s (status %d)", said.Error, status)}
-		}
-	}
-	return coded{exitFailed, fmt.Errorf("given up after a minute: %w", last)}
-}
-
-// outputs are what a command can print.
-var outputs = []string{"table", "json", "yaml"}
-
-// outputFlag adds the flag that chooses among them.
-func outputFlag(f *pflag.FlagSet, into *string) {
-	f.StringVarP(into, "output", "o", "table", "table, json or yaml")
-}
-
 // show prints a value as JSON, as YAML with the same names, or as a table.
 func (o *operator) show(out io.Writer, v any, table func(*tabwriter.Writer)) error {
 	switch o.output {
--- a/cmd/harewalk/why.go
+++ b/cmd/harewalk/why.go
@@ -11,8 +11,7 @@
 	"github.com/harewalk/harewalk/internal/controller"
 )
 
-func whyCmd(server *string) *cobra.Command {
-	var o operator
+func whyCmd(o *operator) *cobra.Command {
 	c := &cobra.Command{
 		Use: "why ID", Short: "Say in plain words why each part of a job waits", Args: cobra.ExactArgs(1),
 		Long: "Say why each part of a job waits: as planning has decided it, not guessed anew. The leader answers; any\n" +
@@ -20,7 +19,6 @@
 			"parked, planning_behind, lane, plan_not_durable, gang_leaving or starting.",
 		Example: "  harewalk job why req-000412\n  harewalk job why req-000412 -o json",
 		RunE: func(c *cobra.Command, args []string) error {
-			o.server = *server
 			var w controller.Why
 			if err := o.ask("GET", "/v2/runs/"+url.PathEscape(args[0])+"/why", nil, &w); err != nil {
 				return err
@@ -28,7 +26,6 @@
 			return o.show(c.OutOrStdout(), w, func(t *tabwriter.Writer) { explainJob(t, w) })
 		},
 	}
-	outputFlag(c.Flags(), &o.output)
 	return c
 }
 
--- /dev/null
+++ b/deploy/access.hcl
@@ -0,0 +1,11 @@
+# Users over TLS, with tokens (docs/access.md). Paths and addresses are each controller's own.
+users_file = "/etc/harewalk/users.hcl"
+
+tls {
+  listen = "0.0.0.0:8443"
+  cert   = "/etc/harewalk/cert.pem"
+  key    = "/etc/harewalk/key.pem"
+  ca     = "/etc/harewalk/ca.pem"
+  peers  = true
+  plain  = "workers"
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,6 +14,7 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/hashicorp/hcl/v2/hclsimple"
 
+	"github.com/harewalk/harewalk/internal/access"
 	"github.com/harewalk/harewalk/internal/licences"
 	"github.com/harewalk/harewalk/internal/sessions"
 )
@@ -147,6 +148,8 @@
 	Operator Operator `json:"-"`
 	pools    []*licences.Pool
 	sessions *sessions.Policies
+	keys     *access.Keys
+	users    *access.Users
 }
 
 // Operator holds the operators' own settings, all optional, written in HCL.
@@ -170,6 +173,10 @@
 	// DebugAddr serves /metrics and /debug/pprof, "" for nowhere. Whoever reaches it can read
 	// profiles: an address of this machine alone, unless somebody else guards it.
 	DebugAddr string `hcl:"debug_addr,optional" validate:"omitempty,hostport"`
+	// UsersFile names who may ask for what, by token; without it nobody is asked for one.
+	UsersFile string `hcl:"users_file,optional"`
+	// TLS serves users, and controllers among themselves, over TLS.
+	TLS *TLSSettings `hcl:"tls,block" validate:"omitnil"`
 	// Licences are the pools of counted licences.
 	Licences []LicencePool `hcl:"licence,block" validate:"dive"`
 	// Sessions switch interactive sessions on.
@@ -248,7 +255,7 @@
 	if err := newValidator().Struct(&s.Operator); err != nil {
 		return fmt.Errorf("%s: %w", path, explain(err))
 	}
-	for _, f := range []func() error{s.derivePools, s.deriveSessions, s.Operator.readToken} {
+	for _, f := range []func() error{s.derivePools, s.deriveSessions, s.Operator.readToken, s.openAccess} {
 		if err := f(); err != nil {
 			return fmt.Errorf("%s: %w", path, err)
 		}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -2,6 +2,7 @@
 package controller
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -120,7 +121,11 @@
 	start := time.Now()
 	c := build(s, Outside{Now: func() time.Duration { return time.Since(start) }, EpochMS: start.UnixMilli(), Seed: uint64(start.UnixNano())})
 	for _, p := range s.Peers {
-		c.links = append(c.links, peers.NewLink(p.Addr))
+		dial := peers.Plain(p.Addr)
+		if t := s.Operator.TLS; t != nil && t.Peers {
+			dial = peers.Secure(p.Addr, func() *tls.Config { return s.Keys().Peer(p.Node) })
+		}
+		c.links = append(c.links, peers.NewLink(dial))
 	}
 	return c
 }
@@ -144,7 +149,7 @@
 	c.quota = quota.New(s.Params.Teams, c.book.Door.Teams.Index)
 	c.cloud = capacity.NewCloud(s.Services.Cloud, c.send, c.loop.Now, s.Params.Cloud.RPS*0.9)
 	c.mir = store.NewMirror(c.store, hot)
-	c.mem = membership.New(membership.Config{Node: s.Node, Public: s.Public, TTL: s.HoldTTL(), Rng: c.rng,
+	c.mem = membership.New(membership.Config{Node: s.Node, Public: s.Public, Secure: s.Secure(), TTL: s.HoldTTL(), Rng: c.rng,
 		OnLead: c.lead, OnLose: c.lose}, c.store, c.mir.Fresh)
 	c.mir.OnItem = func(it store.Item) { c.item(c.loop.Now(), it) }
 	c.mir.OnDrop = func(k string, v uint64) {
@@ -186,23 +191,61 @@
 	if err != nil {
 		return fmt.Errorf("setting \"back\": %w", err)
 	}
+	if t := c.s.Operator.TLS; t != nil && t.Peers {
+		back = tls.NewListener(back, c.s.Keys().Peers())
+	}
 	if addr := c.s.Operator.DebugAddr; addr != "" {
 		if err := c.observe(addr); err != nil {
 			return err
 		}
 	}
 	go peers.Serve(back, func(s peers.Status) { c.loop.Offer(func() { c.hear(s) }) })
-	fail := make(chan error, 1)
-	go func() {
-		fail <- intake.Serve(public, intake.Routes{Post: c.loop.Offer, PostReport: c.loop.OfferWorker, Now: c.loop.Now, Intake: c.in, Up: c.up,
-			Report: c.report, Leader: c.leaderCalls(), MaxConns: c.s.Params.Limits.Conns()})
-	}()
+	fail := make(chan error, 2)
+	routes := intake.Routes{Post: c.loop.Offer, PostReport: c.loop.OfferWorker, Now: c.loop.Now, Intake: c.in, Up: c.up,
+		Report: c.report, Leader: c.leaderCalls(), MaxConns: c.s.Params.Limits.Conns(), Users: c.s.Users()}
+	if t := c.s.Operator.TLS; t != nil {
+		secure, err := net.Listen("tcp", t.Listen)
+		if err != nil {
+			return fmt.Errorf("setting \"tls.listen\": %w", err)
+		}
+		// The connections that are taken from outside are shared out.
+		over := routes
+		over.MaxConns = max(1, routes.MaxConns/4)
+		routes.MaxConns -= over.MaxConns
+		routes.WorkersOnly = t.Plain == "workers"
+		go func() { fail <- intake.Serve(tls.NewListener(secure, c.s.Keys().Users()), over) }()
+	}
+	go func() { fail <- intake.Serve(public, routes) }()
+	go c.checkFiles(checkFilesEvery)
 	slog.Info("serving", "node", c.s.Node, "public", c.s.Public, "hold_ms", c.s.Operator.HoldTTLMS,
 		"money_counts", c.s.MoneyCounts(), "objectives", len(c.s.Params.Objectives))
 	go c.loop.Run(TickEvery, c.tick)
 	return <-fail
 }
 
+// checkFilesEvery is how often keys and users are looked at.
+const checkFilesEvery = 5 * time.Second
+
+// checkFiles takes changed keys and users over, until the process ends.
+func (c *Controller) checkFiles(every time.Duration) {
+	check := func(what string, f func() error) {
+		if err := f(); err != nil {
+			slog.Error("a file cannot be taken over: what was read before counts", "what", what, "cause", err)
+		}
+	}
+	if c.s.Keys() == nil && c.s.Users() == nil {
+		return
+	}
+	for range time.Tick(every) {
+		if k := c.s.Keys(); k != nil {
+			check("keys", k.Check)
+		}
+		if u := c.s.Users(); u != nil {
+			check("users", u.Check)
+		}
+	}
+}
+
 // leaderCalls are the requests that only the leader can answer.
 func (c *Controller) leaderCalls() *intake.Leader {
 	return &intake.Leader{Token: c.s.Operator.Token, Answer: c.leaderCall, Licences: len(c.pools.Pools()) > 0, Sessions: c.s.Sessions().On}
@@ -220,7 +263,8 @@
 		reply(intake.Reply{Status: 421, Body: struct {
 			Error  string `json:"error"`
 			Leader string `json:"leader"`
-		}{"only the leader knows", l.Public}})
+			Secure string `json:"leader_tls,omitempty"`
+		}{"only the leader knows", l.Public, l.Secure}})
 	case !c.mem.Authority(now) || !c.fleet.Loaded():
 		reply(intake.Refuse(503, "the leader may not act now"))
 	case q.What == "why":
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -41,6 +41,10 @@
 			reply(intake.Refuse(400, err.Error()))
 			return
 		}
+		if q.Who != nil && !q.Who.May(r.Spec.Team) {
+			reply(intake.Refuse(403, q.Who.Name+" may not open sessions of team "+r.Spec.Team))
+			return
+		}
 		if v := c.admit(r.Spec); !v.OK {
 			status := 422
 			if !v.Known {
--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -4,10 +4,12 @@
 	"errors"
 	"net"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
 
+	"github.com/harewalk/harewalk/internal/access"
 	"github.com/harewalk/harewalk/internal/config"
 	"github.com/harewalk/harewalk/internal/fleet"
 	"github.com/harewalk/harewalk/internal/jobs"
@@ -25,6 +27,10 @@
 	Leader *Leader
 	// MaxConns bounds open connections.
 	MaxConns int
+	// Users are asked for their tokens, unless it is nil. WorkersOnly refuses everybody but
+	// workers and health checks.
+	Users       *access.Users
+	WorkersOnly bool
 }
 
 // limits of waiting for the loop: below what the client waits for.
@@ -63,11 +69,27 @@
 			reply(refuse(503, "not ready"))
 		})
 	})
+	app.Post("/checkin", func(c fiber.Ctx) error {
+		rep, err := fleet.ParseReport(c.Body())
+		if err != nil {
+			return send(c, refuse(400, "not a report"))
+		}
+		return r.ask(c, r.PostReport, workerWait, func(reply func(Reply)) { r.Report(r.Now(), rep, reply) })
+	})
+	if r.WorkersOnly {
+		app.Use(func(c fiber.Ctx) error { return send(c, refuse(403, "users are served over TLS only")) })
+	}
+	if r.Users != nil {
+		app.Use("/v2", r.known)
+	}
 	app.Post("/v2/runs", func(c fiber.Ctx) error {
 		spec, err := jobs.ParseSpec(c.Body())
 		if err != nil {
 			return send(c, refuse(400, err.Error()))
 		}
+		if w := who(c); w != nil && !w.May(spec.Team) {
+			return send(c, refuse(403, w.Name+" may not submit jobs of team "+spec.Team))
+		}
 		return r.ask(c, r.Post, userWait, func(reply func(Reply)) { r.Intake.Submit(r.Now(), spec, reply) })
 	})
 	app.Get("/v2/runs/:id", func(c fiber.Ctx) error {
@@ -76,19 +98,35 @@
 	})
 	app.Post("/v2/runs/:id/abort", func(c fiber.Ctx) error {
 		id := string([]byte(c.Params("id")))
-		return r.ask(c, r.Post, userWait, func(reply func(Reply)) { r.Intake.Abort(r.Now(), id, reply) })
-	})
-	app.Post("/checkin", func(c fiber.Ctx) error {
-		rep, err := fleet.ParseReport(c.Body())
-		if err != nil {
-			return send(c, refuse(400, "not a report"))
-		}
-		return r.ask(c, r.PostReport, workerWait, func(reply func(Reply)) { r.Report(r.Now(), rep, reply) })
+		w := who(c)
+		return r.ask(c, r.Post, userWait, func(reply func(Reply)) { r.Intake.AbortBy(r.Now(), w, id, reply) })
 	})
 	r.leader(app)
 	return app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 }
 
+// known lets those through whose token is known. A session that is open has tokens of its own; to open
+// one, and to list them, takes a user's.
+func (r Routes) known(c fiber.Ctx) error {
+	if strings.HasPrefix(c.Path(), "/v2/sessions/") {
+		return c.Next()
+	}
+	w := r.Users.Who(bearer(c))
+	if w == nil {
+		return send(c, refuse(401, "the token is missing or unknown"))
+	}
+	c.Locals(whoKey{}, w)
+	return c.Next()
+}
+
+type whoKey struct{}
+
+// who is the user that asks, nil where nobody is asked for a token.
+func who(c fiber.Ctx) *access.Who {
+	w, _ := c.Locals(whoKey{}).(*access.Who)
+	return w
+}
+
 // ask hands a request to the event loop and waits for its answer. A request that has waited
 // too long is refused here and passed over there: nobody would hear the answer, and whoever
 // falls behind must not work for them.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/harewalk/harewalk/internal/access"
 	"github.com/harewalk/harewalk/internal/jobs"
 	"github.com/harewalk/harewalk/internal/store"
 )
@@ -401,6 +402,11 @@
 
 // Abort cancels a job. The answer is given once that is durable.
 func (n *Intake) Abort(now time.Duration, id string, reply func(Reply)) {
+	n.AbortBy(now, nil, id, reply)
+}
+
+// AbortBy cancels a job for a user, who must be one of its team; nil is anybody.
+func (n *Intake) AbortBy(now time.Duration, w *access.Who, id string, reply func(Reply)) {
 	if !jobs.ValidID(id) {
 		reply(refuse(404, "no such job"))
 		return
@@ -415,15 +421,19 @@
 			return
 		}
 	}
-	n.abort(id, reply, 4)
+	n.abort(w, id, reply, 4)
 }
 
-func (n *Intake) abort(id string, reply func(Reply), tries int) {
+func (n *Intake) abort(w *access.Who, id string, reply func(Reply), tries int) {
 	j := n.Book.Get(id)
 	if j != nil && j.Stance.Terminal() {
 		reply(n.show(j, false))
 		return
 	}
+	if j != nil && w != nil && !w.May(j.Spec.Team) {
+		reply(refuse(403, w.Name+" may not cancel jobs of team "+j.Spec.Team))
+		return
+	}
 	again := func() {
 		n.Store.Get(jobs.RecordKey(id), store.Ordinary, func(it store.Item, err error) {
 			switch {
@@ -433,7 +443,7 @@
 				reply(refuse(404, "no such job"))
 			default:
 				n.Learned(n.Store.Now(), it)
-				n.abort(id, reply, tries-1)
+				n.abort(w, id, reply, tries-1)
 			}
 		})
 	}
--- a/internal/intake/operator.go
+++ b/internal/intake/operator.go
@@ -7,16 +7,19 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+
+	"github.com/harewalk/harewalk/internal/access"
 )
 
 // Call is a request that only the leader can answer: why a job waits, which jobs there are, about
 // operators' wishes, licences or sessions.
 type Call struct {
-	What   string // "why", "list", "admin", "licences" or "sessions"
-	Name   string // of the one it is about; "": all
-	Verb   string // what is asked: "show", or the last part of the path
-	Body   []byte // of a command
-	Bearer string // the token that came with it
+	What   string      // "why", "list", "admin", "licences" or "sessions"
+	Name   string      // of the one it is about; "": all
+	Verb   string      // what is asked: "show", or the last part of the path
+	Body   []byte      // of a command
+	Bearer string      // the token that came with it
+	Who    *access.Who // whose it is, nil where nobody is asked for one
 	Query  map[string]string
 }
 
@@ -56,7 +59,7 @@
 func (r Routes) leader(app *fiber.App) {
 	l := r.Leader
 	ask := func(c fiber.Ctx, what, verb string) error {
-		q := Call{What: what, Name: strings.Clone(c.Params("name")), Verb: verb, Bearer: bearer(c),
+		q := Call{What: what, Name: strings.Clone(c.Params("name")), Verb: verb, Bearer: bearer(c), Who: who(c),
 			Query: map[string]string{}}
 		for _, k := range [...]string{"user", "team", "where", "since", "limit"} {
 			if v := c.Query(k); v != "" {
@@ -73,7 +76,11 @@
 	}
 	command := func(what, verb string) fiber.Handler {
 		return func(c fiber.Ctx) error {
-			if ok, why := l.may(bearer(c), c.IP()); !ok {
+			if w := who(c); w != nil {
+				if !w.Operator {
+					return send(c, refuse(403, w.Name+" is no operator"))
+				}
+			} else if ok, why := l.may(bearer(c), c.IP()); !ok {
 				return send(c, refuse(403, why))
 			}
 			return ask(c, what, verb)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -50,6 +50,7 @@
 	Term   uint64 `json:"term"`
 	Hold   uint64 `json:"hold"`
 	Public string `json:"public"`
+	Secure string `json:"secure,omitempty"` // its address with TLS, if it has one
 }
 
 type termValue struct {
@@ -89,7 +90,7 @@
 
 // Config is what a controller brings along.
 type Config struct {
-	Node, Public string
+	Node, Public, Secure string
 	TTL          time.Duration
 	Rng          *rand.Rand
 	// OnLead and OnLose tell the start and the end of a term of our own.
@@ -380,7 +381,7 @@
 	m.busy = true
 	m.to(now, Campaigning)
 	next := m.term.Term + 1
-	lv, _ := json.Marshal(Leader{m.cfg.Node, next, m.hold, m.cfg.Public})
+	lv, _ := json.Marshal(Leader{m.cfg.Node, next, m.hold, m.cfg.Public, m.cfg.Secure})
 	tv, _ := json.Marshal(termValue{next})
 	pm := PartMap{Term: next, Owners: []string{m.cfg.Node}}
 	pv, _ := json.Marshal(pm)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -163,13 +164,31 @@
 // Link sends frames to one other controller. Frames wait in a queue of one: a newer
 // status replaces one that was not sent yet.
 type Link struct {
-	addr string
+	dial Dial
 	out  chan []byte
 }
 
+// Dial connects to another controller, within 1.5 s.
+type Dial func() (net.Conn, error)
+
+// dialFor bounds a connection's making.
+const dialFor = 1500 * time.Millisecond
+
+// Plain connects without TLS.
+func Plain(addr string) Dial {
+	return func() (net.Conn, error) { return net.DialTimeout("tcp4", addr, dialFor) }
+}
+
+// Secure connects over TLS, with what config says at that moment.
+func Secure(addr string, config func() *tls.Config) Dial {
+	return func() (net.Conn, error) {
+		return tls.DialWithDialer(&net.Dialer{Timeout: dialFor}, "tcp4", addr, config())
+	}
+}
+
 // NewLink opens a link; its goroutine dials as often as needed.
-func NewLink(addr string) *Link {
-	l := &Link{addr: addr, out: make(chan []byte, 1)}
+func NewLink(dial Dial) *Link {
+	l := &Link{dial: dial, out: make(chan []byte, 1)}
 	go l.run()
 	return l
 }
@@ -190,8 +209,9 @@
 	var conn net.Conn
 	for raw := range l.out {
 		if conn == nil {
-			c, err := net.DialTimeout("tcp4", l.addr, 1500*time.Millisecond)
+			c, err := l.dial()
 			if err != nil {
+				slog.Debug("peer not reached", "cause", err)
 				continue
 			}
 			conn = c
--- a/internal/world/cluster.go
+++ b/internal/world/cluster.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -20,6 +21,10 @@
 	env  []string
 	mu   sync.Mutex
 	proc []*exec.Cmd
+
+	operator bool // there are operators' settings
+	// Secure are free addresses, one for each controller: {tls} in its operators' settings.
+	Secure []string
 	// Kills counts the controllers that were killed.
 	Kills int
 }
@@ -28,14 +33,16 @@
 // beside the environment. Files stand under dir; operator is the operators' HCL, "" for none.
 func (w *World) Run(dir, operator string, env []string, argv ...string) (*Cluster, error) {
 	c := &Cluster{w: w, dir: dir, argv: argv, env: append(os.Environ(), env...), proc: make([]*exec.Cmd, w.cfg.Controllers)}
-	if operator != "" {
-		file := filepath.Join(dir, "operator.hcl")
-		if err := os.WriteFile(file, []byte(operator), 0o600); err != nil {
+	c.operator = operator != ""
+	for i := range c.proc {
+		addr, err := freePort()
+		if err != nil {
+			return nil, err
+		}
+		c.Secure = append(c.Secure, addr)
+		if err := os.WriteFile(c.own(i), []byte(strings.ReplaceAll(operator, "{tls}", addr)), 0o600); err != nil {
 			return nil, err
 		}
-		c.argv = append(c.argv, "--operator", file)
-	}
-	for i := range c.proc {
 		if err := os.WriteFile(c.settings(i), w.Settings(i), 0o600); err != nil {
 			return nil, err
 		}
@@ -43,6 +50,9 @@
 	return c, nil
 }
 
+// own is a controller's file of operators' settings.
+func (c *Cluster) own(i int) string { return filepath.Join(c.dir, fmt.Sprintf("operator-%d.hcl", i)) }
+
 func (c *Cluster) settings(i int) string { return filepath.Join(c.dir, fmt.Sprintf("node-%d.json", i)) }
 
 // Log is where a controller's output goes.
@@ -59,7 +69,11 @@
 	if err != nil {
 		return err
 	}
-	p := exec.Command(c.argv[0], append(append([]string{}, c.argv[1:]...), "--config", c.settings(i))...)
+	args := append(append([]string{}, c.argv[1:]...), "--config", c.settings(i))
+	if c.operator {
+		args = append(args, "--operator", c.own(i))
+	}
+	p := exec.Command(c.argv[0], args...)
 	p.Env, p.Stderr, p.Stdout = c.env, log, log
 	// A controller must not outlive whoever plays its world.
 	p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
