Pace: each second after a start or a change of the lead is logged, with what it went into

Need: the worst seconds of the service are those after many things restart at once; means don't show what they are short of. For 20 s after a turn each controller logs what users and workers were answered, its requests and writes to the state service, processor time, and machines that act or are silent.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -101,6 +101,9 @@
 	listAt    time.Duration // when jobs were listed last
 	sweptAt   time.Duration // of marks of machines that are gone
 
+	answers intake.Counter
+	pace    pace
+
 	summary  time.Duration
 	links    []link
 	status   map[string]heard
@@ -203,7 +206,7 @@
 	go peers.Serve(back, func(s peers.Status) { c.loop.Offer(func() { c.hear(s) }) })
 	fail := make(chan error, 2)
 	routes := intake.Routes{Post: c.loop.Offer, PostReport: c.loop.OfferWorker, Now: c.loop.Now, Intake: c.in, Up: c.up,
-		Report: c.report, Leader: c.leaderCalls(), MaxConns: c.s.Params.Limits.Conns(), Users: c.s.Users()}
+		Report: c.report, Leader: c.leaderCalls(), MaxConns: c.s.Params.Limits.Conns(), Users: c.s.Users(), Counter: &c.answers}
 	if t := c.s.Operator.TLS; t != nil {
 		secure, err := net.Listen("tcp", t.Listen)
 		if err != nil {
@@ -508,6 +511,7 @@
 		c.drain(now)
 	}
 	c.operate(now)
+	c.keepPace(now)
 	if c.fleet == nil {
 		return
 	}
--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -27,6 +27,8 @@
 	Leader *Leader
 	// MaxConns bounds open connections.
 	MaxConns int
+	// Counter counts what is answered; nil for nobody.
+	Counter *Counter
 	// Users are asked for their tokens, unless it is nil. WorkersOnly refuses everybody but
 	// workers and health checks.
 	Users       *access.Users
@@ -59,7 +61,7 @@
 		},
 	})
 	app.Get("/up", func(c fiber.Ctx) error {
-		return r.ask(c, r.Post, userWait, func(reply func(Reply)) {
+		return r.wait(c, r.Post, userWait, func(int) {}, func(reply func(Reply)) {
 			if r.Up() {
 				reply(Reply{Status: 200, Body: struct {
 					OK bool `json:"ok"`
@@ -74,7 +76,7 @@
 		if err != nil {
 			return send(c, refuse(400, "not a report"))
 		}
-		return r.ask(c, r.PostReport, workerWait, func(reply func(Reply)) { r.Report(r.Now(), rep, reply) })
+		return r.wait(c, r.PostReport, workerWait, r.Counter.worker, func(reply func(Reply)) { r.Report(r.Now(), rep, reply) })
 	})
 	if r.WorkersOnly {
 		app.Use(func(c fiber.Ctx) error { return send(c, refuse(403, "users are served over TLS only")) })
@@ -131,6 +133,15 @@
 // too long is refused here and passed over there: nobody would hear the answer, and whoever
 // falls behind must not work for them.
 func (r Routes) ask(c fiber.Ctx, post func(func()) bool, wait time.Duration, f func(reply func(Reply))) error {
+	return r.wait(c, post, wait, r.Counter.user, f)
+}
+
+// wait does so and counts the answer.
+func (r Routes) wait(c fiber.Ctx, post func(func()) bool, wait time.Duration, count func(status int), f func(reply func(Reply))) error {
+	send := func(c fiber.Ctx, a Reply) error {
+		count(a.Status)
+		return send(c, a)
+	}
 	ch := make(chan Reply, 1)
 	late := r.Now() + wait
 	ok := post(func() {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -293,3 +293,20 @@
 		t.Fatalf("%d stored, %d accepted", len(svc.Keys), n[201])
 	}
 }
+
+// Answers are counted by what they were to whom; a server without a counter counts nothing.
+func TestAnswersAreCounted(t *testing.T) {
+	var k Counter
+	for _, s := range []int{200, 201, 404, 422, 429, 503, 503} {
+		k.user(s)
+	}
+	for _, s := range []int{200, 421, 503} {
+		k.worker(s)
+	}
+	if got := k.Read(); got != (Answers{Served: 4, Busy: 1, Unable: 2, Reports: 1, Void: 2}) {
+		t.Fatalf("%+v", got)
+	}
+	var none *Counter
+	none.user(200)
+	none.worker(200)
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -133,8 +133,13 @@
 	writes *Budget
 	ops    int
 	lastOK time.Duration
+
+	sent, wrote uint64
 }
 
+// Sent is how many requests were sent since the start, and how many writes were in them.
+func (c *Client) Sent() (requests, writes uint64) { return c.sent, c.wrote }
+
 // Share is the part of the service's limits that a controller may use: rates, and how
 // many seconds' worth may be used at once.
 type Share struct{ RPS, WriteRPS, BurstS float64 }
@@ -174,6 +179,8 @@
 	}
 	c.reqs.Take(1)
 	c.writes.Take(float64(writes))
+	c.sent++
+	c.wrote += uint64(writes)
 	c.send.Send(c.addr, req, func(r httpio.Response) {
 		if r.Err == nil && r.Status != 503 && r.Status != 429 {
 			c.lastOK = c.now()
