--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -36,13 +36,10 @@
 	typesKey = membership.Prefix + "types"
 )
 
-// The leader's parts of the state service's rates, of requests and of writes: it writes the plans and
-// reads more. The others share what is left evenly, however many they are, so that all together stay
-// within the limits. They write submissions, many in one transaction, and little of their part is used.
-const (
-	leaderPart   = 0.6
-	leaderWrites = 0.75
-)
+// leaderPart is the leader's part of the state service's rate: it writes the plans and
+// reads more. The others share what is left evenly, however many they are, so that all
+// together stay within the limit.
+const leaderPart = 0.6
 
 // How many seconds' worth of its part a controller may use at once: the service allows one
 // second's worth in all. The leader's requests are many and even, while submissions come
@@ -181,11 +178,11 @@
 
 // share is this controller's part of the state service's rate.
 func (c *Controller) share(leading bool) store.Share {
-	part, writes, burst := leaderPart, leaderWrites, leaderBurst
-	if others := float64(len(c.s.Peers)); !leading && others > 0 {
-		part, writes, burst = (1-leaderPart)/others, (1-leaderWrites)/others, otherBurst
+	part, burst := leaderPart, leaderBurst
+	if others := len(c.s.Peers); !leading && others > 0 {
+		part, burst = (1-leaderPart)/float64(others), otherBurst
 	}
-	return store.Share{RPS: c.s.Params.State.RPS * part, WriteRPS: c.s.Params.State.WriteRPS * writes, BurstS: burst}
+	return store.Share{RPS: c.s.Params.State.RPS * part, WriteRPS: c.s.Params.State.WriteRPS * part, BurstS: burst}
 }
 
 // Run listens and serves until the process is ended.
