--- /dev/null
+++ b/cmd/harewalk/lab_test.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// The lab is quiet in a pipe, prints tables or JSON and writes a report; a wrong scenario is named and
+// has its own exit code.
+func TestLabCommand(t *testing.T) {
+	dir := t.TempDir()
+	file, page := filepath.Join(dir, "s.hcl"), filepath.Join(dir, "report.html")
+	scenario := `
+name       = "two minutes"
+duration_s = 120
+machines   = 4
+type "m" {
+  cpus      = 8
+  memory_gb = 32
+  price     = 1
+  boot_s    = 5
+}
+team "red" {}
+load "arrays" {
+  team       = "red"
+  cpus       = 1
+  per_minute = 10
+  tasks "fixed" { value = 4 }
+  seconds "fixed" { value = 5 }
+}
+fault {
+  at_s = 60
+  do   = "drain-leader 5s"
+}
+`
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(scenario)
+	out, code := command(t, "lab", file, "--html", page)
+	if code != 0 || !strings.Contains(out, "drain-leader 5s") || strings.Contains(out, "%\r") || strings.Contains(out, "\r") {
+		t.Fatalf("exit %d: %q", code, out)
+	}
+	if raw, err := os.ReadFile(page); err != nil || !strings.Contains(string(raw), "<svg") {
+		t.Fatalf("report: %v", err)
+	}
+	if out, code := command(t, "lab", file, "-o", "json", "--repetitions", "2"); code != 0 || !strings.Contains(out, `"seeds": [`) || !strings.HasPrefix(out, "{") {
+		t.Fatalf("exit %d: %s", code, out)
+	}
+	if out, code := command(t, "lab", file, "--repetitions", "1", "--log-level", "info"); code != 0 || !strings.Contains(out, "at_s=60") {
+		t.Fatalf("exit %d: no simulated times in the log", code)
+	}
+	write(strings.Replace(scenario, "per_minute = 10", "per_minute = 0", 1))
+	if out, code := command(t, "lab", file); code != 2 || !strings.Contains(out, "PerMinute") {
+		t.Fatalf("exit %d: %s", code, out)
+	}
+	if _, code := command(t, "lab", filepath.Join(dir, "none.hcl")); code != 2 {
+		t.Fatalf("exit %d for a scenario that isn't there", code)
+	}
+}
