--- /dev/null
+++ b/internal/fleet/start.go
@@ -0,0 +1,205 @@
+package fleet
+
+// What may start on a machine now, and how it is started.
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/planner"
+)
+
+// keeps is what tasks without an accelerator must leave of a machine, so that its idle
+// accelerators can be used by work that waits for them: small tasks that took every core
+// as it came free would never let a large one in.
+func (f *Fleet) keeps(m *Machine, s planner.Size, idle float64) planner.Size {
+	if s.GPUs > 0 || m.Size.GPUs == 0 || f.perGPU == (planner.Size{}) {
+		return planner.Size{}
+	}
+	return f.perGPU.Times(idle)
+}
+
+// yields is by how many seconds a job that may use spot machines puts off an ordinary one
+// which live jobs that may not use spot could need: they have no other.
+func (f *Fleet) yields(m *Machine, j *jobs.Job) float64 {
+	if m.Spot || !j.Spec.Spot || !f.ordinary[m.Type] {
+		return 0
+	}
+	if j.Spec.Kind == jobs.Array {
+		return yieldArray * f.estimate(j)
+	}
+	return yieldGang * f.estimate(j)
+}
+
+// fits tells whether one more task of a job has room on a machine now.
+func (f *Fleet) fits(m *Machine, j *jobs.Job) bool {
+	s := j.Spec.Size()
+	free := m.Free()
+	if m.claimRank < f.rankOf(j) {
+		free = free.Sub(m.claim)
+	}
+	free = free.Sub(f.keeps(m, s, m.Size.GPUs-m.Use.GPUs))
+	if j.Spec.Kind == jobs.Array {
+		// Gangs already planned here wait only for their plan to be durable.
+		free = free.Sub(m.whole)
+	}
+	return s.Fits(free)
+}
+
+func (f *Fleet) rankOf(j *jobs.Job) int {
+	if ix := int(j.Index); ix < len(f.rank) && f.rank[ix] > 0 {
+		return f.rank[ix] - 1
+	}
+	return 1 << 30
+}
+
+// sortRanked orders jobs by rank.
+func (f *Fleet) sortRanked(ixs []jobs.Index) {
+	slices.SortFunc(ixs, func(a, b jobs.Index) int {
+		return cmp.Or(cmp.Compare(f.rankOf(f.job(a)), f.rankOf(f.job(b))), cmp.Compare(a, b))
+	})
+}
+
+// allowed tells whether a job's task may be on a machine, given where its others are.
+func (f *Fleet) allowed(m *Machine, j *jobs.Job) bool {
+	if !j.Allows(m.Type, m.Zone, m.Spot) || (len(j.Avoid) > 0 && f.Now() < j.Avoid[m.Index]) {
+		return false
+	}
+	if j.Spec.OneZone {
+		for z, n := range j.ZoneUse {
+			if n > 0 && z != m.Zone {
+				return false
+			}
+		}
+	}
+	if lim := j.Spec.ZoneLimit(); lim > 0 && j.ZoneUse[m.Zone]+j.ZoneUse[jobs.None] >= lim {
+		return false
+	}
+	return true
+}
+
+// startable tells whether a planned task may be launched now.
+func (f *Fleet) startable(now time.Duration, m *Machine, j *jobs.Job, t int32) bool {
+	k := &j.Tasks[t]
+	return j.Stance == jobs.Pending && k.State == jobs.Planned && k.Machine == m.Index && k.Until <= now &&
+		j.IsDurable(t) && f.allowed(m, j) && f.fits(m, j) && (f.Gate.Booked(seatRef(j, t)) || f.Gate.Fits(claimOf(j), 1))
+}
+
+// nextAttempt makes an attempt that no term has used.
+func (f *Fleet) nextAttempt() uint64 {
+	f.counter++
+	return f.Term<<24 | f.counter
+}
+
+// launch turns a planned task into a command.
+func (f *Fleet) launch(now time.Duration, m *Machine, j *jobs.Job, t int32, attempt uint64) Command {
+	k := &j.Tasks[t]
+	k.Since, k.RunSince, k.Attempt = now, 0, attempt
+	if !j.Started {
+		slog.Info("job starts", "job", j.ID, "class", j.Spec.Class, "machine", m.Name, "waited_s", int((now - j.At).Seconds()),
+			"fetch_s", int(f.fetchS(j, m)), "term", f.Term)
+	}
+	j.Started = true
+	f.place(now, j, t, jobs.Launched)
+	return Command{Op: opStart, Task: taskName(j, t), Attempt: attempt}
+}
+
+// starts launches what a machine's lanes hold, best rank first: a lane that reports free
+// gets its next planned task.
+func (f *Fleet) starts(now time.Duration, m *Machine) []Command {
+	var out []Command
+	if f.held || m.Condition != Acting || m.Retiring || m.Planned == 0 || !m.least.Fits(m.Free()) {
+		return nil
+	}
+	ixs := f.ixs[:0]
+	for _, l := range m.lanes {
+		if j := f.job(l.job); j.Spec.Kind == jobs.Gang || f.fits(m, j) {
+			ixs = append(ixs, l.job)
+		}
+	}
+	f.ixs = ixs
+	f.Steps += uint64(len(m.lanes))
+	f.sortRanked(ixs)
+	for _, ix := range ixs {
+		j := f.job(ix)
+		if j.Spec.Kind == jobs.Gang {
+			out = append(out, f.startGang(now, m, j)...)
+			continue
+		}
+		ts := m.waiting(ix)
+		keep := ts[:0]
+		for i, t := range ts {
+			if !f.fits(m, j) {
+				keep = append(keep, ts[i:]...)
+				break
+			}
+			if !f.startable(now, m, j, t) {
+				keep = append(keep, t)
+				continue
+			}
+			out = append(out, f.launch(now, m, j, t, f.nextAttempt()))
+		}
+		if n := len(ts) - len(keep); n > 0 {
+			m.wait(ix, keep)
+			f.unqueue(m, j, n)
+		}
+	}
+	return out
+}
+
+// startGang launches a gang's tasks on one machine, once the whole gang is planned
+// durably and fits the team's limit. All tasks carry the attempt of the first.
+func (f *Fleet) startGang(now time.Duration, m *Machine, j *jobs.Job) []Command {
+	first := true
+	planned := 0
+	for t := range j.Tasks {
+		k := &j.Tasks[t]
+		switch {
+		case k.State == jobs.Unplanned || k.State == jobs.Recovered || k.Halting || k.Until > now:
+			return nil
+		case k.State == jobs.Planned:
+			if !j.IsDurable(int32(t)) || f.machines[k.Machine].Condition != Acting {
+				return nil
+			}
+			planned++
+		case k.State.Occupies():
+			first = false
+		}
+	}
+	if first {
+		if !f.mayStart(j, planned) {
+			return nil
+		}
+		j.Attempt = f.nextAttempt()
+		j.GangAt, j.FetchS = now, 0
+		for t := range j.Tasks {
+			if k := &j.Tasks[t]; k.State == jobs.Planned {
+				j.FetchS = max(j.FetchS, f.fetchS(j, f.machines[k.Machine]))
+			}
+		}
+	}
+	// A task that has its image waits gang_wait_s for the others and then gives up, which
+	// costs the whole gang its start: where the image is at hand the launch is put off for
+	// as long as the others fetch it, less a good part of what the task may wait.
+	lead := j.FetchS - f.fetchS(j, m) - f.Settings.Params.Workers.GangWaitS/4
+	if now < j.GangAt+config.Seconds(lead) {
+		return nil
+	}
+	var out []Command
+	for _, t := range slices.Clone(m.waiting(j.Index)) {
+		if j.Tasks[t].State == jobs.Planned && f.startable(now, m, j, t) {
+			f.dropLane(j, t)
+			out = append(out, f.launch(now, m, j, t, j.Attempt))
+		}
+	}
+	if first && len(out) > 0 {
+		// The rest follows from other machines, some of it seconds later: nobody may take
+		// its place meanwhile.
+		f.book(now, j)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/steal.go
@@ -0,0 +1,132 @@
+package fleet
+
+// Stealing: an idle machine takes what would wait longest elsewhere.
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/planner"
+)
+
+// behind is a machine on which a job's planned tasks wait, and for how long the last one
+// is expected to wait there.
+type behind struct {
+	m    *Machine
+	wait float64
+}
+
+type delays []behind
+
+func (d delays) Len() int { return len(d) }
+
+func (d delays) Less(a, b int) bool { return d[a].wait > d[b].wait }
+
+func (d delays) Swap(a, b int) { d[a], d[b] = d[b], d[a] }
+
+func (d *delays) Push(x any) { *d = append(*d, x.(behind)) }
+
+func (d *delays) Pop() any {
+	old := *d
+	x := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return x
+}
+
+// steal gives machines with free lanes unstarted tasks of the lanes furthest behind, job by
+// job in rank order. Only machines with room are looked at, and of a job only those on
+// which it waits.
+func (f *Fleet) steal(now time.Duration) {
+	least := planner.Size{CPUs: math.Inf(1), GPUs: math.Inf(1), Mem: math.Inf(1)}
+	var waiting []*jobs.Job
+	for _, j := range f.order {
+		if j.Spec.Kind == jobs.Array && j.In[jobs.Planned] > 0 && f.mayStart(j, 1) {
+			waiting = append(waiting, j)
+			least = least.Min(j.Spec.Size())
+		}
+	}
+	if len(waiting) == 0 {
+		return
+	}
+	var idle []*Machine
+	for _, m := range f.packed() {
+		if least.Fits(m.Free().Sub(m.need)) {
+			idle = append(idle, m)
+		}
+	}
+	f.Steps += uint64(len(f.pass.packed))
+	for _, j := range waiting {
+		var ds delays
+		size := j.Spec.Size()
+		for _, m := range idle {
+			f.Steps++
+			if !size.Fits(m.Free().Sub(m.need)) || !f.fits(m, j) || !f.allowed(m, j) {
+				continue
+			}
+			if ds == nil {
+				ds = f.delays(now, j)
+			}
+			f.stealFor(now, m, j, &ds)
+			if len(ds) == 0 {
+				break
+			}
+		}
+	}
+}
+
+// delays lists where a job's planned tasks wait, furthest behind first.
+func (f *Fleet) delays(now time.Duration, j *jobs.Job) delays {
+	ds := delays{}
+	for _, ix := range f.waitsAt(j) {
+		if w, ok := f.waits(now, j, f.machines[ix]); ok {
+			ds = append(ds, behind{f.machines[ix], w})
+		}
+	}
+	f.Steps += uint64(2 * len(ds))
+	heap.Init(&ds)
+	return ds
+}
+
+// waits estimates how long the last of a job's planned tasks waits on a machine; ok is
+// false if it can't be moved.
+func (f *Fleet) waits(now time.Duration, j *jobs.Job, m *Machine) (float64, bool) {
+	ts := m.waiting(j.Index)
+	if len(ts) == 0 || !j.IsDurable(ts[len(ts)-1]) {
+		return 0, false
+	}
+	est := f.estimate(j)
+	wait := 0.0
+	if !f.fits(m, j) {
+		if wait = f.freeIn(now, m, j); wait > 1e5 {
+			wait = est
+		}
+	}
+	n := max(1, j.Spec.Size().Copies(m.Size))
+	return wait + est*m.slow*float64((len(ts)-1)/n) + f.fetchS(j, m), true
+}
+
+// stealFor moves a job's tasks to a machine for as long as it has room and they would start
+// sooner there, fetch included.
+func (f *Fleet) stealFor(now time.Duration, m *Machine, j *jobs.Job, ds *delays) {
+	size := j.Spec.Size()
+	sooner := f.fetchS(j, m) + 0.5 + f.yields(m, j)
+	for range 64 {
+		if len(*ds) == 0 || (*ds)[0].wait <= sooner || !size.Fits(m.Free().Sub(m.need)) || !f.fits(m, j) {
+			return
+		}
+		v := (*ds)[0].m
+		ts := v.waiting(j.Index)
+		t := ts[len(ts)-1]
+		f.dropLane(j, t)
+		f.plan(now, j, t, m)
+		f.Steps += 4
+		if w, ok := f.waits(now, j, v); ok {
+			(*ds)[0].wait = w
+			heap.Fix(ds, 0)
+		} else {
+			heap.Pop(ds)
+		}
+	}
+}
