Access: sessions are looked at with a user's token, every door tried without one

Cause, found on re-reading: with tokens asked for, GET of a session was let through like what its own tokens open. A test tries each door for users without a token and with a wrong one, with paths spelled in several ways; workers, health checks and sessions' own tokens go on.

--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -107,10 +107,10 @@
 	return app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 }
 
-// known lets those through whose token is known. A session that is open has tokens of its own; to open
-// one, and to list them, takes a user's.
+// known lets those through whose token is known. What is done with a session that is open takes tokens of its
+// own; to open one, and to look at any, takes a user's.
 func (r Routes) known(c fiber.Ctx) error {
-	if strings.HasPrefix(c.Path(), "/v2/sessions/") {
+	if c.Method() == fiber.MethodPost && strings.HasPrefix(c.Path(), "/v2/sessions/") {
 		return c.Next()
 	}
 	w := r.Users.Who(bearer(c))
--- /dev/null
+++ b/internal/intake/http_test.go
@@ -0,0 +1,84 @@
+package intake
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/access"
+	"github.com/harewalk/harewalk/internal/fleet"
+	"github.com/harewalk/harewalk/internal/world/state"
+)
+
+// Where tokens are asked for, every door for users is shut without one, however its path is spelled; what a
+// session's own tokens open, workers' reports and health checks are not.
+func TestDoorsAreShut(t *testing.T) {
+	token, sum, err := access.NewToken()
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "users.hcl")
+	if err := os.WriteFile(file, []byte(fmt.Sprintf("user \"ada\" {\n tokens_sha256 = [%q]\n}\n", sum)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	users, err := access.OpenUsers(file, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := newDesk(state.New())
+	post := func(f func()) bool { f(); return true }
+	go func() {
+		_ = Serve(ln, Routes{Post: post, PostReport: post, Now: func() time.Duration { return 0 }, Intake: d.Intake, Up: func() bool { return true },
+			Report:   func(_ time.Duration, _ *fleet.Report, reply func(Reply)) { reply(Reply{Status: 200}) },
+			Leader:   &Leader{Licences: true, Sessions: true, Answer: func(_ time.Duration, _ Call, reply func(Reply)) { reply(Reply{Status: 200}) }},
+			MaxConns: 10, Users: users})
+	}()
+	defer func() { _ = ln.Close() }()
+	ask := func(method, path, bearer string) int {
+		q, err := http.NewRequest(method, "http://"+ln.Addr().String()+path, strings.NewReader("{}"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if bearer != "" {
+			q.Header.Set("Authorization", "Bearer "+bearer)
+		}
+		r, err := http.DefaultClient.Do(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = r.Body.Close()
+		return r.StatusCode
+	}
+	for _, door := range []string{"POST /v2/runs", "GET /v2/runs", "GET /v2/runs/req-000001", "POST /v2/runs/req-000001/abort", "GET /v2/runs/req-000001/why", "GET /v2/runs/req-000001/events",
+		"GET /v2/events", "GET /v2/admin", "POST /v2/admin", "GET /v2/licences", "GET /v2/licences/x", "POST /v2/licences/x", "GET /v2/sessions", "POST /v2/sessions", "GET /v2/sessions/req-000001",
+		"GET /v2/sessions/req-000001/explain", "GET /V2/Runs", "GET /v2/runs/", "GET //v2/runs", "GET /v2/../v2/runs", "GET /v2/sessions/../runs", "GET /%76%32/runs", "POST /v2/sessions/../runs/req-000001/abort"} {
+		method, path, _ := strings.Cut(door, " ")
+		if got := ask(method, path, ""); got != 401 && got != 404 {
+			t.Errorf("%s without a token: %d", door, got)
+		}
+		if got := ask(method, path, token+"x"); got != 401 && got != 404 {
+			t.Errorf("%s with somebody's token: %d", door, got)
+		}
+	}
+	for door, want := range map[string]int{"GET /up": 200, "POST /v2/sessions/req-000001/report": 200, "POST /v2/sessions/req-000001/attach": 200, "POST /checkin": 400} {
+		method, path, _ := strings.Cut(door, " ")
+		if got := ask(method, path, ""); got != want {
+			t.Errorf("%s without a token: %d, want %d", door, got, want)
+		}
+	}
+	if got := ask("GET", "/v2/runs", token); got != 200 {
+		t.Errorf("with a token: %d", got)
+	}
+	if got := ask("POST", "/v2/admin", token); got != 403 {
+		t.Errorf("a user's command: %d", got)
+	}
+}
