Tidy: one checker of what users are told, one way to ask and show, one reading of filters

Cause, found on re-reading: three users (on loopback, in the lab, in the simulation's tests) each checked the same rules on a job's answers; lists and events read their filters alike, commands asked and showed alike, two places let go on what had waited for a session's write, a listed job was described twice, and the world asked its ground of what kind it is. One piece each; the tests' users are held to the stricter of the checks (one test now says that it asked for its job's end).

--- a/cmd/harewalk/admin.go
+++ b/cmd/harewalk/admin.go
@@ -19,11 +19,7 @@
 		&cobra.Command{
 			Use: "status", Short: "Show controllers, machines that are being drained, and the revision", Args: cobra.NoArgs,
 			RunE: func(c *cobra.Command, _ []string) error {
-				var s controller.Status
-				if err := o.ask("GET", "/v2/admin", nil, &s); err != nil {
-					return err
-				}
-				return o.show(c.OutOrStdout(), s, func(t *tabwriter.Writer) { showStatus(t, s) })
+				return tell(&o, c, "GET", "/v2/admin", nil, showStatus)
 			},
 		},
 		adminAct(&o, "drain", "Drain a controller, or a machine, which is then given back",
@@ -48,11 +44,7 @@
 			if revision >= 0 {
 				body["revision"] = revision
 			}
-			var s controller.Status
-			if err := o.ask("POST", "/v2/admin", body, &s); err != nil {
-				return err
-			}
-			return o.show(c.OutOrStdout(), s, func(t *tabwriter.Writer) { showStatus(t, s) })
+			return tell(o, c, "POST", "/v2/admin", body, showStatus)
 		},
 	}
 	c.Flags().Int64Var(&revision, "revision", -1, "refuse the command unless this is still the revision")
--- a/cmd/harewalk/events.go
+++ b/cmd/harewalk/events.go
@@ -12,7 +12,6 @@
 	"github.com/spf13/cobra"
 
 	"github.com/harewalk/harewalk/internal/controller"
-	"github.com/harewalk/harewalk/internal/query"
 )
 
 func eventsCmd(o *operator) *cobra.Command {
@@ -26,8 +25,8 @@
 			"with =, != and ~, task and age_s with =, !=, <, <=, > and >=. With -o json and --follow each line is one event.",
 		Example: "  harewalk job events req-000412 --follow\n  harewalk job events --where 'event = task_ended and note = error'",
 		RunE: func(c *cobra.Command, args []string) error {
-			if _, err := query.Parse(where, controller.EventFields); err != nil {
-				return coded{exitUsage, fmt.Errorf("--where, %w\n  %s", err, where)}
+			if err := checkWhere(where, controller.EventFields); err != nil {
+				return err
 			}
 			path := "/v2/events"
 			if len(args) == 1 {
--- a/cmd/harewalk/list.go
+++ b/cmd/harewalk/list.go
@@ -26,8 +26,8 @@
 		Example: "  harewalk job list --where 'waiting > 0 and team = \"red\"'\n  harewalk job list --where 'stance = running and (class ~ audit or age_s > 3600)' -o json",
 		RunE: func(c *cobra.Command, _ []string) error {
 			// What is wrong is said before anybody is asked.
-			if _, err := query.Parse(where, controller.ListFields); err != nil {
-				return coded{exitUsage, fmt.Errorf("--where, %w\n  %s", err, where)}
+			if err := checkWhere(where, controller.ListFields); err != nil {
+				return err
 			}
 			all := []controller.Listed{}
 			for after := ""; ; {
@@ -53,6 +53,14 @@
 	return c
 }
 
+// checkWhere says what is wrong with a filter, and where, before anybody is asked.
+func checkWhere(where string, fields query.Fields) error {
+	if _, err := query.Parse(where, fields); err != nil {
+		return coded{exitUsage, fmt.Errorf("--where, %w\n  %s", err, where)}
+	}
+	return nil
+}
+
 func watchCmd(o *operator) *cobra.Command {
 	var every time.Duration
 	c := &cobra.Command{
--- a/cmd/harewalk/operator.go
+++ b/cmd/harewalk/operator.go
@@ -40,6 +40,15 @@
 	return t.Flush()
 }
 
+// tell asks whoever leads and shows the answer.
+func tell[T any](o *operator, c *cobra.Command, method, path string, body any, table func(*tabwriter.Writer, T)) error {
+	var v T
+	if err := o.ask(method, path, body, &v); err != nil {
+		return err
+	}
+	return o.show(c.OutOrStdout(), v, func(t *tabwriter.Writer) { table(t, v) })
+}
+
 func licenceCmd() *cobra.Command {
 	var o operator
 	c := &cobra.Command{Use: "licence", Short: "Look at the pools of counted licences and change their counts",
@@ -50,11 +59,7 @@
 		&cobra.Command{
 			Use: "list", Short: "List the pools: how many seats each has, who holds them, how many are free", Args: cobra.NoArgs,
 			RunE: func(c *cobra.Command, _ []string) error {
-				var vs []licences.View
-				if err := o.ask("GET", "/v2/licences", nil, &vs); err != nil {
-					return err
-				}
-				return o.show(c.OutOrStdout(), vs, func(t *tabwriter.Writer) {
+				return tell(&o, c, "GET", "/v2/licences", nil, func(t *tabwriter.Writer, vs []licences.View) {
 					fmt.Fprintln(t, "POOL\tCOUNT\tHELD\tLINGERING\tOTHERS\tRESERVE\tFREE\tSERVER")
 					for _, v := range vs {
 						fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", v.Pool, v.Count, v.Held+v.Booked, v.Lingering, v.Others, v.Reserve, v.Free, line(v))
@@ -65,11 +70,7 @@
 		&cobra.Command{
 			Use: "show POOL", Short: "Show one pool, with its teams", Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
-				var v licences.View
-				if err := o.ask("GET", "/v2/licences/"+args[0], nil, &v); err != nil {
-					return err
-				}
-				return o.show(c.OutOrStdout(), v, func(t *tabwriter.Writer) { showPool(t, v) })
+				return tell(&o, c, "GET", "/v2/licences/"+args[0], nil, showPool)
 			},
 		},
 		setCountCmd(&o))
@@ -150,11 +151,7 @@
 			if version >= 0 {
 				body["version"] = version
 			}
-			var v licences.View
-			if err := o.ask("POST", "/v2/licences/"+args[0], body, &v); err != nil {
-				return err
-			}
-			return o.show(c.OutOrStdout(), v, func(t *tabwriter.Writer) { showPool(t, v) })
+			return tell(o, c, "POST", "/v2/licences/"+args[0], body, showPool)
 		},
 	}
 	c.Flags().StringVar(&lower, "on-lower", "", "wait or stop, what happens to holders beyond the new count (default: as declared)")
--- a/cmd/harewalk/session.go
+++ b/cmd/harewalk/session.go
@@ -111,12 +111,8 @@
 	c := &cobra.Command{
 		Use: "list", Short: "List sessions", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			var vs []sessions.View
 			q := url.Values{"user": {who}, "team": {team}}
-			if err := o.ask("GET", "/v2/sessions?"+q.Encode(), nil, &vs); err != nil {
-				return err
-			}
-			return o.show(c.OutOrStdout(), vs, func(t *tabwriter.Writer) {
+			return tell(o, c, "GET", "/v2/sessions?"+q.Encode(), nil, func(t *tabwriter.Writer, vs []sessions.View) {
 				fmt.Fprintln(t, "SESSION\tUSER\tTEAM\tSTATE\tFOR\tIDLE\tUNSAVED MB\tWHY")
 				for _, v := range vs {
 					fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%.1f\t%s\n", v.ID, v.User, v.Team, v.State, brief(v.ForS), brief(v.IdleS), v.UnsavedMB, v.Why)
--- a/cmd/harewalk/why.go
+++ b/cmd/harewalk/why.go
@@ -19,11 +19,7 @@
 			"parked, planning_behind, lane, plan_not_durable, gang_leaving or starting.",
 		Example: "  harewalk job why req-000412\n  harewalk job why req-000412 -o json",
 		RunE: func(c *cobra.Command, args []string) error {
-			var w controller.Why
-			if err := o.ask("GET", "/v2/runs/"+url.PathEscape(args[0])+"/why", nil, &w); err != nil {
-				return err
-			}
-			return o.show(c.OutOrStdout(), w, func(t *tabwriter.Writer) { explainJob(t, w) })
+			return tell(o, c, "GET", "/v2/runs/"+url.PathEscape(args[0])+"/why", nil, explainJob)
 		},
 	}
 	return c
--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"errors"
 	"fmt"
 	"math"
 	"strconv"
@@ -73,10 +72,8 @@
 // eventsCall tells what happened from a number on: TERM-SEQ, from an earlier answer. A number of
 // another term is void: everything this leader has kept is told.
 func (c *Controller) eventsCall(now time.Duration, q intake.Call, reply func(intake.Reply)) {
-	f, err := query.Parse(q.Query["where"], EventFields)
-	var wrong *query.Error
-	if errors.As(err, &wrong) {
-		reply(intake.Refuse(400, "where: "+wrong.Error()))
+	f, ok := whereOf(q, EventFields, reply)
+	if !ok {
 		return
 	}
 	only := int32(events.None)
--- a/internal/controller/list.go
+++ b/internal/controller/list.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"errors"
 	"slices"
 	"strconv"
 	"strings"
@@ -72,6 +71,16 @@
 // listEvery spaces the lists that are made: each looks at every job there is, on the event loop.
 const listEvery = 100 * time.Millisecond
 
+// whereOf reads a request's filter; ok is false if it is none, and that was answered.
+func whereOf(q intake.Call, fields query.Fields, reply func(intake.Reply)) (f query.Filter, ok bool) {
+	f, err := query.Parse(q.Query["where"], fields)
+	if err != nil {
+		reply(intake.Refuse(400, "where: "+err.Error()))
+		return f, false
+	}
+	return f, true
+}
+
 // mayList tells whether a list may be made now, and counts it.
 func (c *Controller) mayList(now time.Duration) bool {
 	if c.listAt > 0 && now-c.listAt < listEvery {
@@ -86,10 +95,8 @@
 
 // listCall lists jobs that match a filter, by id after the one named, a page at a time.
 func (c *Controller) listCall(now time.Duration, q intake.Call, reply func(intake.Reply)) {
-	f, err := query.Parse(q.Query["where"], ListFields)
-	var wrong *query.Error
-	if errors.As(err, &wrong) {
-		reply(intake.Refuse(400, "where: "+wrong.Error()))
+	f, ok := whereOf(q, ListFields, reply)
+	if !ok {
 		return
 	}
 	if !c.mayList(now) {
@@ -100,21 +107,18 @@
 	if n, err := strconv.Atoi(q.Query["limit"]); err == nil && n > 0 {
 		size = min(n, pageSize)
 	}
-	var found []*jobs.Job
+	var found []Listed
 	after := q.Query["since"]
 	c.book.All(func(j *jobs.Job) {
 		if j.ID > after {
 			if l := c.listed(now, j); f.Match(&l, ListFields) {
-				found = append(found, j)
+				found = append(found, l)
 			}
 		}
 	})
-	slices.SortFunc(found, func(a, b *jobs.Job) int { return strings.Compare(a.ID, b.ID) })
-	out := List{Jobs: []Listed{}, More: len(found) > size}
-	for _, j := range found[:min(size, len(found))] {
-		out.Jobs = append(out.Jobs, c.listed(now, j))
-	}
-	reply(intake.Reply{Status: 200, Body: out})
+	slices.SortFunc(found, func(a, b Listed) int { return strings.Compare(a.ID, b.ID) })
+	out := append([]Listed{}, found[:min(size, len(found))]...)
+	reply(intake.Reply{Status: 200, Body: List{Jobs: out, More: len(found) > size}})
 }
 
 func (c *Controller) listed(now time.Duration, j *jobs.Job) Listed {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -146,7 +146,7 @@
 	}
 	slices.Sort(r.starts)
 	for i := range 10 {
-		r.users = append(r.users, &user{started: sec(float64(i + 1)), hasStarted: true, accepted: sec(0.01), over: sec(20), stance: "done"})
+		r.users = append(r.users, &user{started: sec(float64(i + 1)), hasStarted: true, accepted: sec(0.01), over: sec(20), heard: world.History{Final: "done"}})
 		for at := 100; at < 130; at++ {
 			r.answers = append(r.answers, answered{sec(float64(at)), at >= 104 || i < 5 || at == 101})
 		}
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -197,9 +197,8 @@
 	hasStarted bool
 	over       time.Duration // when the user learnt of its end, after its arrival
 	refused    bool
-	stance     string
+	heard      world.History
 	asked      bool // for its end
-	polls      int
 }
 
 // ask sends a request through the load balancer, and notes whether it was served.
@@ -237,6 +236,7 @@
 		switch status {
 		case 200, 201:
 			u.accepted, u.body = max(1, u.since()), nil
+			u.heard = world.History{ID: u.spec.ID, Tasks: u.spec.Tasks}
 			u.crowd.later(2*time.Second, u.poll)
 		case 400, 422:
 			u.refused = true
@@ -265,28 +265,15 @@
 // poll asks for the job until it is over, and twice more after that.
 func (u *user) poll() {
 	u.crowd.ask("GET", "/v2/runs/"+u.spec.ID, nil, func(status int, stance string) {
-		w, id := u.crowd.w, u.spec.ID
-		final := stance == "done" || stance == "cancelled"
-		switch {
-		case status == 404:
-			w.Break("forgotten: %s", id)
+		u.crowd.w.Heard(&u.heard, status, stance, u.asked)
+		if status == 404 {
 			return
-		case status != 200:
-		case u.stance != "" && stance != u.stance:
-			w.Break("went_back: %s was %s and is %s", id, u.stance, stance)
-		case final && u.stance == "":
-			if stance == "done" && !w.AllDone(id, u.spec.Tasks) {
-				w.Break("not_done: %s is called done", id)
-			}
-			if stance == "cancelled" && !u.asked {
-				w.Break("went_back: %s is called cancelled, and nobody asked for it", id)
-			}
-			u.stance, u.over = stance, u.since()
+		}
+		if u.heard.Times == 1 && u.over == 0 {
+			u.over = u.since()
 			u.crowd.open--
-		case final:
-			u.polls++
 		}
-		if u.polls < 2 {
+		if u.heard.Times < 3 {
 			u.crowd.later(max(2*time.Second, min(u.since()/10, 30*time.Second)), u.poll)
 		}
 	})
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -138,10 +138,10 @@
 			switch {
 			case u.refused:
 				out.Ends.Refused++
-			case u.stance == "done":
+			case u.heard.Final == "done":
 				out.Ends.Done++
 				record(h.over, u.over)
-			case u.stance == "cancelled":
+			case u.heard.Final == "cancelled":
 				out.Ends.Cancelled++
 			default:
 				out.Ends.Open++
--- a/internal/sessions/manager.go
+++ b/internal/sessions/manager.go
@@ -410,11 +410,7 @@
 			s.rec, s.version = rec, version
 		}
 		done(m.Now(), ok)
-		waiting := s.waiting
-		s.waiting = nil
-		for _, f := range waiting {
-			f()
-		}
+		s.goOn()
 		if m.byID[s.id] == s {
 			m.queue.at(s, m.Now())
 		}
@@ -471,6 +467,15 @@
 	f()
 }
 
+// goOn does what has waited for a write.
+func (s *session) goOn() {
+	waiting := s.waiting
+	s.waiting = nil
+	for _, f := range waiting {
+		f()
+	}
+}
+
 // forget drops a session whose job has ended; its record goes with it.
 func (m *Manager) forget(now time.Duration, s *session) {
 	s.writing = true
--- a/internal/sessions/users.go
+++ b/internal/sessions/users.go
@@ -240,11 +240,7 @@
 			m.remove(at, s)
 			reply(Answer{Status: 200, View: View{ID: s.id, User: s.rec.User, Team: s.rec.Team, State: Closed.String()}})
 		}
-		waiting := s.waiting
-		s.waiting = nil
-		for _, f := range waiting {
-			f()
-		}
+		s.goOn()
 	})
 }
 
--- a/internal/world/ground.go
+++ b/internal/world/ground.go
@@ -32,6 +32,8 @@
 	after(d time.Duration, f func())
 	// listen makes an address at which h is asked; name is unique.
 	listen(name string, h handler) (addr string, err error)
+	// addresses are a controller's, for users and for the others.
+	addresses(controller int) (public, back string, err error)
 	// ask sends a worker's request to an address; status 0 means that no answer came.
 	ask(addr, path string, body []byte, then func(status int, body []byte))
 	close()
@@ -99,6 +101,13 @@
 	return ln.Addr().String(), nil
 }
 
+func (l *loopback) addresses(int) (public, back string, err error) {
+	if public, err = freePort(); err == nil {
+		back, err = freePort()
+	}
+	return public, back, err
+}
+
 func (l *loopback) ask(addr, path string, body []byte, then func(int, []byte)) {
 	go func() {
 		status, answer := send(l.client, addr, path, "", body)
--- a/internal/world/sim.go
+++ b/internal/world/sim.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/url"
 	"time"
@@ -108,6 +109,10 @@
 	return addr, nil
 }
 
+func (s *Sim) addresses(i int) (public, back string, err error) {
+	return fmt.Sprintf("node-%d:80", i), fmt.Sprintf("node-%d:81", i), nil
+}
+
 func (s *Sim) close() { s.queue = nil }
 
 // Advance lets time pass, by d.
--- a/internal/world/sim_test.go
+++ b/internal/world/sim_test.go
@@ -26,6 +26,7 @@
 	rng    *rand.Rand
 	spec   *jobs.Spec
 	told   []string // final answers
+	heard  History
 	asked  bool
 	status int
 }
@@ -45,6 +46,7 @@
 	again = func() {
 		u.ask("POST", "/v2/runs", body, func(status int, _ string) {
 			if u.status = status; status == 200 || status == 201 {
+				u.heard = History{ID: u.spec.ID, Tasks: u.spec.Tasks}
 				u.poll()
 				return
 			}
@@ -68,15 +70,9 @@
 
 func (u *simUser) poll() {
 	u.ask("GET", "/v2/runs/"+u.spec.ID, nil, func(status int, stance string) {
-		if status == 404 {
-			u.w.Break("forgotten: %s", u.spec.ID)
-		}
-		if status == 200 && (stance == "done" || stance == "cancelled") {
-			if u.told = append(u.told, stance); stance == "done" && len(u.told) == 1 && !u.w.AllDone(u.spec.ID, u.spec.Tasks) {
-				u.w.Break("not_done: %s", u.spec.ID)
-			}
-		} else if status == 200 && len(u.told) > 0 {
-			u.w.Break("went_back: %s is %s again", u.spec.ID, stance)
+		u.w.Heard(&u.heard, status, stance, u.asked)
+		if u.heard.Times > len(u.told) {
+			u.told = append(u.told, stance)
 		}
 		if len(u.told) < 4 {
 			u.w.After(time.Duration(500+u.rng.IntN(1500))*time.Millisecond, u.poll)
@@ -384,6 +380,7 @@
 		return func(status int, _ []byte) { said[what] = append(said[what], status) }
 	}
 	// They wait in its sockets and are the first that it sees.
+	u.asked = true
 	w.After(11*time.Second+900*time.Millisecond, func() {
 		w.Ask(old, "GET", "/v2/runs", nil, note("list"))
 		w.Ask(old, "GET", "/v2/runs/req-000001/why", nil, note("why"))
--- a/internal/world/users.go
+++ b/internal/world/users.go
@@ -108,40 +108,24 @@
 // follow polls until a job is over, and once more later: what was said stays.
 func (u *Users) follow(s *jobs.Spec) {
 	defer u.wait.Done()
-	var was string
-	for polls := 0; ; {
+	h := History{ID: s.ID, Tasks: s.Tasks}
+	for {
 		select {
 		case <-u.w.stop:
 			return
 		case <-time.After(400 * time.Millisecond):
 		}
 		status, v, _ := u.call("GET", "/v2/runs/"+s.ID, nil)
-		if status != 200 {
-			if status == 404 {
-				u.w.broke("forgotten: %s", s.ID)
-				return
-			}
-			continue
-		}
-		if was != "" && v.Stance != was {
-			u.w.broke("went_back: %s was %s and is %s", s.ID, was, v.Stance)
-		}
-		if v.Stance != "done" && v.Stance != "cancelled" {
-			continue
-		}
-		if was == "" && v.Stance == "done" && !u.w.AllDone(s.ID, s.Tasks) {
-			u.w.broke("not_done: %s is called done", s.ID)
-		}
 		u.mu.Lock()
 		asked := u.asked[s.ID]
 		u.mu.Unlock()
-		if v.Stance == "cancelled" && !asked {
-			u.w.broke("went_back: %s is called cancelled, and nobody asked for it", s.ID)
+		u.w.Heard(&h, status, v.Stance, asked)
+		if status == 404 {
+			return
 		}
-		was = v.Stance
-		if polls++; polls == 3 {
+		if h.Times == 3 {
 			u.mu.Lock()
-			u.final[s.ID] = was
+			u.final[s.ID] = h.Final
 			delete(u.open, s.ID)
 			u.mu.Unlock()
 			return
@@ -149,10 +133,40 @@
 	}
 }
 
-// Break notes that a rule did not hold, as a user saw it.
-func (w *World) Break(format string, a ...any) { w.broke(format, a...) }
+// History is what one user was told of a job.
+type History struct {
+	ID    string
+	Tasks int
+	Final string // "done" or "cancelled", once it was told
+	Times int    // how often that was
+}
 
-func (w *World) broke(format string, a ...any) {
+// Heard adds an answer to a history, and notes the rules that don't hold by it: what was accepted is not
+// forgotten, what is final never changes, done is what is done, and cancelled what somebody asked to be.
+func (w *World) Heard(h *History, status int, stance string, asked bool) {
+	switch {
+	case status == 404:
+		w.Break("forgotten: %s", h.ID)
+	case status != 200:
+		return
+	case h.Final != "" && stance != h.Final:
+		w.Break("went_back: %s was %s and is %s", h.ID, h.Final, stance)
+	}
+	if status != 200 || (stance != "done" && stance != "cancelled") {
+		return
+	}
+	if h.Final == "" && stance == "done" && !w.AllDone(h.ID, h.Tasks) {
+		w.Break("not_done: %s is called done", h.ID)
+	}
+	if stance == "cancelled" && !asked {
+		w.Break("went_back: %s is called cancelled, and nobody asked for it", h.ID)
+	}
+	h.Final = stance
+	h.Times++
+}
+
+// Break notes that a rule did not hold, as a user saw it.
+func (w *World) Break(format string, a ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.fail(format, a...)
@@ -196,12 +210,12 @@
 	for i := range u.w.cfg.Controllers {
 		for id, want := range final {
 			if status, stance := ask(i, id); status != 200 || stance != want {
-				u.w.broke("controller %d says %d %q of %s, its user was told %q", i, status, stance, id, want)
+				u.w.Break("controller %d says %d %q of %s, its user was told %q", i, status, stance, id, want)
 			}
 		}
 		for _, id := range []string{"req-999999", "req-888888"} {
 			if status, _ := ask(i, id); status != 404 {
-				u.w.broke("invented: controller %d says %d of %s", i, status, id)
+				u.w.Break("invented: controller %d says %d of %s", i, status, id)
 			}
 		}
 	}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -150,14 +150,9 @@
 		if err != nil {
 			return nil, err
 		}
-		public, back := fmt.Sprintf("node-%d:80", i), fmt.Sprintf("node-%d:81", i)
-		if _, real := on.(*loopback); real {
-			var e1, e2 error
-			public, e1 = freePort()
-			back, e2 = freePort()
-			if e1 != nil || e2 != nil {
-				return nil, fmt.Errorf("no free port: %v, %v", e1, e2)
-			}
+		public, back, err := on.addresses(i)
+		if err != nil {
+			return nil, fmt.Errorf("no free port: %w", err)
 		}
 		s := config.Settings{Node: fmt.Sprintf("node-%d", i), Zone: cfg.Zones[i%len(cfg.Zones)], Public: public, Back: back,
 			Services: config.Services{Cloud: cloud, State: svc}}
