Membership: a campaign of the former process that lands late is cleared away

Found on reading what may be under way when a controller is back within a fraction of a second: its former process's campaign can land after the new one has looked for its past. The leader key then names a hold that nobody renews, and nobody leads until it has run out. The new process ends that hold as soon as it sees it. With a test that fails without it.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -406,6 +406,13 @@
 				}
 			})
 	case Member:
+		if m.leader.Node == m.cfg.Node && m.leader.Hold != m.hold {
+			// A campaign of this controller's former process has landed after its end was cleared away: its hold
+			// protects nobody. It once kept everybody from leading for as long as it lived.
+			m.busy = true
+			m.store.EndHold(m.leader.Hold, func(bool) { retry() })
+			return
+		}
 		if m.leader.Node == "" && now >= m.campaign && now >= m.quiet && now < m.until && m.cfg.Rollout.Fit() {
 			m.run(now, retry)
 		}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -293,6 +294,43 @@
 	}
 }
 
+// A campaign of a former process lands after the new one, back at once, has cleared its past away: it names a hold that
+// the new one doesn't have. Nobody would lead for as long as that hold lives.
+func TestFormerCampaignLandsLate(t *testing.T) {
+	c := newCluster(t, 3)
+	c.runFor(3 * time.Second)
+	l := c.leader()
+	for _, n := range c.nodes {
+		n.gen++
+		n.mem = nil
+	}
+	l.start()
+	c.runFor(time.Second)
+	// It loses the lead to what its former process had under way, on a hold that is alive still.
+	body := func(method, path, raw string) httpio.Response {
+		return c.svc.Serve(httpio.Request{Method: method, Path: path, Body: []byte(raw)})
+	}
+	var hold struct {
+		ID uint64 `json:"tether"`
+	}
+	if err := json.Unmarshal(body("POST", "/holds", `{"ttl_ms":60000}`).Body, &hold); err != nil || hold.ID == 0 {
+		t.Fatal(err)
+	}
+	raw, _ := json.Marshal(Leader{Node: l.name, Term: l.mem.Term() + 1, Hold: hold.ID})
+	txn, _ := json.Marshal(store.Txn{If: []store.Cond{}, Then: []store.Op{{Put: leaderKey, Value: raw, Hold: hold.ID}}})
+	if r := body("POST", "/txn", string(txn)); r.Status != 200 {
+		t.Fatal(r.Status)
+	}
+	c.runFor(200 * time.Millisecond)
+	if c.leader() != nil {
+		t.Fatal("it acts in the name of its former process")
+	}
+	c.runFor(3 * time.Second)
+	if c.leader() != l {
+		t.Fatal("its former process's hold keeps it from leading")
+	}
+}
+
 // Rendezvous hashing parts machines evenly and moves only those of a lost owner.
 func TestPartMap(t *testing.T) {
 	all := PartMap{Owners: []string{"a", "b", "c"}}
