Controller: who is cut off from state service and peers gives its users and workers up

An outage is told by answers of 503; no answer at all, and no peer heard, is a cut. Workers are sent by the followed keys only while those are no older than a hold lives, then to who says itself that it leads, else to nobody.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -420,12 +420,18 @@
 	if now-c.store.LastOK() < 3*time.Second {
 		return true
 	}
+	peers := false
 	for _, h := range c.status {
-		if h.StateOK && now-h.at < 3*time.Second {
-			return false
+		if now-h.at < 3*time.Second {
+			if h.StateOK {
+				return false
+			}
+			peers = true
 		}
 	}
-	return true
+	// Who hears neither the state service nor any other controller is cut off, and must not keep its users: an
+	// outage is told by answers of 503, and by others that are told the same.
+	return peers || len(c.s.Peers) == 0 || now-c.store.LastHeard() < 3*time.Second
 }
 
 // report answers a worker.
@@ -452,7 +458,23 @@
 	type keeper struct {
 		Keeper string `json:"keeper,omitempty"`
 	}
-	reply(intake.Reply{Status: 421, Body: keeper{c.mem.Owner(r.Machine)}})
+	reply(intake.Reply{Status: 421, Body: keeper{c.keeper(now, r.Machine)}})
+}
+
+// keeper is whom a worker is sent to, "" if that isn't known: the owner by the followed keys, unless they are older than a
+// hold lives; then whoever says itself that it leads. Two controllers that were cut off with their workers would
+// otherwise send them to one that has long lost the lead.
+func (c *Controller) keeper(now time.Duration, machine string) string {
+	if now-c.mir.Fresh() <= c.s.HoldTTL() {
+		return c.mem.Owner(machine)
+	}
+	name, term := "", uint64(0)
+	for _, h := range c.status {
+		if h.Leading && h.Term > term && now-h.at < heardFor {
+			name, term = h.Node, h.Term
+		}
+	}
+	return name
 }
 
 // lead starts a term.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -126,13 +126,14 @@
 
 // Client talks to the state service. It belongs to the event loop.
 type Client struct {
-	addr   string
-	send   httpio.Sender
-	now    func() time.Duration
-	reqs   *Budget
-	writes *Budget
-	ops    int
-	lastOK time.Duration
+	addr      string
+	send      httpio.Sender
+	now       func() time.Duration
+	reqs      *Budget
+	writes    *Budget
+	ops       int
+	lastOK    time.Duration
+	lastHeard time.Duration
 
 	sent, wrote uint64
 }
@@ -160,6 +161,9 @@
 // TxnOps is the most operations in one transaction.
 func (c *Client) TxnOps() int { return c.ops }
 
+// LastHeard is when the service last answered anything, a refusal too.
+func (c *Client) LastHeard() time.Duration { return c.lastHeard }
+
 // LastOK is when the service last carried out a request of ours.
 func (c *Client) LastOK() time.Duration { return c.lastOK }
 
@@ -182,6 +186,9 @@
 	c.sent++
 	c.wrote += uint64(writes)
 	c.send.Send(c.addr, req, func(r httpio.Response) {
+		if r.Err == nil {
+			c.lastHeard = c.now()
+		}
 		if r.Err == nil && r.Status != 503 && r.Status != 429 {
 			c.lastOK = c.now()
 		}
