Fleet: a mistaken job is told from a faulty machine

A job submitted with a mistake fails on every machine. Now what a job's tasks show has a state: untried, proven, mistaken. One that fails on several machines and has none done is tried one task at a time with a pause that doubles to 64 s, where its image is; it claims, preempts and rents nothing, no deadline gives way to it, and its failures say nothing of machines. A faulty machine is still found: two jobs that don't fail elsewhere. job why: failing.

--- a/internal/fleet/array.go
+++ b/internal/fleet/array.go
@@ -79,12 +79,19 @@
 	if j.In[jobs.Unplanned] == 0 || now < f.barren[j.Index] {
 		return
 	}
+	if f.paused(now, j) {
+		f.failingNote(j)
+		return
+	}
 	if f.Steps-f.pass.began > arraySteps {
 		f.note(j, verdict{cause: NotYet})
 		return
 	}
 	var tasks []int32
 	slice := min(planSlice, f.granted(j, j.Left())-j.In[jobs.Planned])
+	if f.mistaken(j) != nil {
+		slice = min(slice, 1)
+	}
 	if slice <= 0 {
 		f.denied(j, 1)
 		return
@@ -102,6 +109,10 @@
 		}
 	}
 	if len(tasks) == 0 {
+		if f.mistaken(j) != nil {
+			f.failingNote(j)
+			return
+		}
 		f.note(j, verdict{cause: Retry, until: retry})
 		return
 	}
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -31,6 +31,12 @@
 		if n == 0 {
 			continue
 		}
+		if f.paused(now, j) {
+			continue
+		}
+		if f.mistaken(j) != nil && j.Spec.Kind != jobs.Gang {
+			n = 1
+		}
 		// What waits for a licence needs no machine yet.
 		if n = f.granted(j, n); n == 0 {
 			continue
@@ -60,9 +66,6 @@
 	return f.works
 }
 
-// Faulty tells whether a machine fails what runs on it: several jobs in a row.
-func (f *Fleet) Faulty(m *Machine) bool { return m.errors >= 2 }
-
 // Counts is what is displayed of a job.
 func (f *Fleet) Counts(j *jobs.Job) (done, running int) { return j.DoneN, j.Runs }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -111,6 +111,7 @@
 	ordinary map[int32]bool                // machine types that jobs which may not use spot need
 	kinds    map[int32]bool                // machine types seen
 	pleaded  map[jobs.Index]time.Duration  // jobs that had others stopped, when last
+	failing  map[jobs.Index]*failing       // jobs of which tasks failed
 	verdicts map[jobs.Index]verdict        // what planning last decided about what is unplanned
 	grants   map[jobs.Index]licences.Grant // of jobs that need licences, by the last pass
 	news     bool                          // a plan became durable since the last push
@@ -149,7 +150,7 @@
 func New(env Env, term uint64, now time.Duration) *Fleet {
 	f := &Fleet{Env: env, Term: term, since: now, byName: map[string]*Machine{},
 		within: map[jobs.Index]bool{}, classes: map[int32]*classStats{}, LastReport: now,
-		hints: map[string][]cached{}, spread: map[jobs.Index]map[int32]int{}, barren: map[jobs.Index]time.Duration{}, pleaded: map[jobs.Index]time.Duration{},
+		hints: map[string][]cached{}, spread: map[jobs.Index]map[int32]int{}, barren: map[jobs.Index]time.Duration{}, pleaded: map[jobs.Index]time.Duration{}, failing: map[jobs.Index]*failing{},
 		unread: map[string]bool{}, grants: map[jobs.Index]licences.Grant{}, verdicts: map[jobs.Index]verdict{}, ordinary: map[int32]bool{}, kinds: map[int32]bool{}, listed: map[Ref]struct{}{}}
 	if f.Paged == nil {
 		f.Paged = func() bool { return true }
@@ -570,6 +571,7 @@
 	f.ranked = 0
 	delete(f.barren, j.Index)
 	delete(f.pleaded, j.Index)
+	delete(f.failing, j.Index)
 	delete(f.grants, j.Index)
 	delete(f.verdicts, j.Index)
 	if j.Tasks == nil {
--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -165,9 +165,15 @@
 		f.note(j, verdict{cause: Leaving})
 		return // still here, finished, or some of it not gone yet
 	}
+	if f.paused(now, j) {
+		f.failingNote(j)
+		return
+	}
 	for t := range j.Tasks {
 		if k := &j.Tasks[t]; k.Until > now {
-			f.note(j, verdict{cause: Retry, until: k.Until})
+			if f.note(j, verdict{cause: Retry, until: k.Until}); f.mistaken(j) != nil {
+				f.failingNote(j)
+			}
 			return
 		}
 	}
@@ -185,6 +191,9 @@
 	}
 	zone, start := f.soonest(j, fd)
 	f.note(j, verdict{cause: GangShort, need: j.N, have: len(fd.open), start: start})
+	if f.mistaken(j) != nil {
+		return // nobody waits or is stopped for what will fail
+	}
 	if start > f.canWait(now, j) && f.preemptFor(now, j, fd.ps, start) {
 		return
 	}
@@ -269,6 +278,10 @@
 	if j.In[jobs.Unplanned] == 0 {
 		return
 	}
+	if f.paused(now, j) {
+		f.failingNote(j)
+		return
+	}
 	fd, use := f.field(now, j), f.InZones(j)
 	for t := range j.Tasks {
 		k := &j.Tasks[t]
@@ -301,5 +314,8 @@
 		}
 		f.plan(now, j, int32(t), fd.ps[i].m)
 		use[fd.ps[i].m.Zone]++
+		if f.mistaken(j) != nil {
+			return
+		}
 	}
 }
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -102,9 +102,8 @@
 	claim     planner.Size
 	claimRank int
 
-	errors   int // failures of different jobs in a row
-	errorJob jobs.Index
-	slow     float64 // run time against what was expected, smoothed; 1 is normal
+	failed []jobs.Index // different jobs that failed here since one was done
+	slow   float64      // run time against what was expected, smoothed; 1 is normal
 }
 
 // lane is what of a job waits on a machine.
--- a/internal/fleet/overload.go
+++ b/internal/fleet/overload.go
@@ -95,6 +95,9 @@
 	for at, j := range f.order {
 		n := j.Left()
 		k := keys[j.Index]
+		if f.mistaken(j) != nil {
+			continue // it holds up nothing, and no deadline gives way to it
+		}
 		if j.Spec.Kind != jobs.Array || j.Spec.DeadlineS == nil || !k.ok || n == 0 {
 			pool = pool.Sub(j.Spec.Size().Times(float64(j.On())))
 			continue
--- a/internal/fleet/pass.go
+++ b/internal/fleet/pass.go
@@ -55,8 +55,8 @@
 				}
 			}
 		}
-		// What its team's limit keeps waiting needs no room.
-		if s := j.Spec.Size(); s.GPUs > 0 && j.Left() > 0 && f.mayStart(j, 1) {
+		// What its team's limit keeps waiting needs no room, nor what fails wherever it runs.
+		if s := j.Spec.Size(); s.GPUs > 0 && j.Left() > 0 && f.mistaken(j) == nil && f.mayStart(j, 1) {
 			f.perGPU.CPUs = max(f.perGPU.CPUs, s.CPUs/s.GPUs)
 			f.perGPU.Mem = max(f.perGPU.Mem, s.Mem/s.GPUs)
 		}
--- a/internal/fleet/preempt.go
+++ b/internal/fleet/preempt.go
@@ -187,7 +187,7 @@
 
 // preemptArray makes room for an array's planned tasks where they are planned.
 func (f *Fleet) preemptArray(now time.Duration, j *jobs.Job) {
-	if j.In[jobs.Planned] == 0 || (j.Level <= f.pass.lowest && !f.within[j.Index]) || !f.mayStart(j, 1) {
+	if j.In[jobs.Planned] == 0 || f.mistaken(j) != nil || (j.Level <= f.pass.lowest && !f.within[j.Index]) || !f.mayStart(j, 1) {
 		return
 	}
 	patient := f.canWait(now, j)
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -260,10 +260,7 @@
 		k.Fails = min(k.Fails+1, 6)
 		k.Until = now + time.Second<<k.Fails
 		f.avoid(now, m, j)
-		if m.errorJob != j.Index || m.errors == 0 {
-			m.errors++
-			m.errorJob = j.Index
-		}
+		f.failed(now, m, j)
 	case whyNoRoom, whyUnknown:
 		k.Until = now + 2*time.Second
 	}
@@ -304,7 +301,7 @@
 	}
 	if seen && k.Machine == m.Index && k.Phase == jobs.Running {
 		f.learn(j, m, (now - k.RunSince).Seconds(), k.Fails == 0)
-		m.errors = 0
+		f.proves(j, m)
 	}
 	if k.State == jobs.Planned {
 		f.dropLane(j, t)
--- a/internal/fleet/why.go
+++ b/internal/fleet/why.go
@@ -23,6 +23,7 @@
 	GangShort  Cause = "gang_short"       // too few machines have room for a gang at once
 	NoRoom     Cause = "no_room"          // no machine that may take a replica has room
 	Retry      Cause = "retry"            // it failed, and is tried again later
+	Failing    Cause = "failing"          // it fails wherever it runs
 	Parked     Cause = "parked"           // a session that was reclaimed
 	Sealed     Cause = "unreadable"       // something stored of it can't be read
 	ZoneLost   Cause = "zone_lost"        // on a machine of a lost zone that isn't heard
@@ -142,6 +143,9 @@
 		add(n, v.cause, "a gang of %d tasks needs as many places at once; %d machines have room now%s", v.need, v.have, soon(v.start))
 	case NoRoom:
 		add(n, v.cause, "no machine that may take a replica has room")
+	case Failing:
+		add(n, v.cause, "its tasks have failed on %d machines and none is done, so the mistake is most likely in the job: it was tried %d times, with pauses that grow, one task at a time; the next try comes in %s", v.have, v.need,
+			max(0, v.until-now).Round(time.Second))
 	case Retry:
 		add(n, v.cause, "a task failed; the next try comes in %s", max(0, v.until-now).Round(time.Second))
 	default:
