Fleet: nobody is stopped for room that is then kept for the same work

What a job may take and what it may make room for are now reckoned alike, and a job that ranks before all work that waits for accelerators leaves nothing for it.

--- a/internal/fleet/array.go
+++ b/internal/fleet/array.go
@@ -129,7 +129,7 @@
 			continue
 		}
 		f.works = f.work(f.works[:0], now, m, rank, j)
-		p.Initial = planner.Lanes(p.Initial, m.Size.Sub(f.keeps(m, size, m.Size.GPUs)), size, f.works)
+		p.Initial = planner.Lanes(p.Initial, m.Size.Sub(f.keeps(m, j, m.Size.GPUs)), size, f.works)
 		if len(p.Initial) == len(lane) {
 			continue
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -102,20 +102,24 @@
 	nextPass time.Duration
 	// Steps counts the work of planning, in looks at a machine, lane or task. It paces the
 	// passes, and tests bound it.
-	Steps    uint64
-	ixs      []jobs.Index                  // scratch
-	works    []planner.Work                // scratch
-	refs     []Ref                         // scratch
-	listed   map[Ref]struct{}              // what the report at hand says is on its machine
-	perGPU   planner.Size                  // what waiting work takes besides, for each accelerator
-	ordinary map[int32]bool                // machine types that jobs which may not use spot need
-	kinds    map[int32]bool                // machine types seen
-	pleaded  map[jobs.Index]time.Duration  // jobs that had others stopped, when last
-	failing  map[jobs.Index]*failing       // jobs of which tasks failed
-	verdicts map[jobs.Index]verdict        // what planning last decided about what is unplanned
-	grants   map[jobs.Index]licences.Grant // of jobs that need licences, by the last pass
-	news     bool                          // a plan became durable since the last push
-	barren   map[jobs.Index]time.Duration  // arrays for which no machine was found, until when
+	Steps  uint64
+	ixs    []jobs.Index     // scratch
+	works  []planner.Work   // scratch
+	refs   []Ref            // scratch
+	listed map[Ref]struct{} // what the report at hand says is on its machine
+	perGPU planner.Size     // what waiting work takes besides, for each accelerator
+	// Of that work, whether any lies within its team's guarantee, and the highest priority of it.
+	gpuWithin bool
+	gpuLevel  int
+	ordinary  map[int32]bool                // machine types that jobs which may not use spot need
+	kinds     map[int32]bool                // machine types seen
+	pleaded   map[jobs.Index]time.Duration  // jobs that had others stopped, when last
+	failing   map[jobs.Index]*failing       // jobs of which tasks failed
+	first     map[jobs.Index]bool           // arrays and services of which a few tasks go before everybody
+	verdicts  map[jobs.Index]verdict        // what planning last decided about what is unplanned
+	grants    map[jobs.Index]licences.Grant // of jobs that need licences, by the last pass
+	news      bool                          // a plan became durable since the last push
+	barren    map[jobs.Index]time.Duration  // arrays for which no machine was found, until when
 
 	// hints are the caches that the owner before inferred, until their machines are heard.
 	hints    map[string][]cached
--- a/internal/fleet/overload.go
+++ b/internal/fleet/overload.go
@@ -86,7 +86,7 @@
 	pool := planner.Size{}
 	for _, m := range f.machines {
 		if m.Condition == Acting && !m.Retiring && !m.Aside {
-			pool = pool.Add(m.Size.Sub(f.keeps(m, planner.Size{}, m.Size.GPUs)))
+			pool = pool.Add(m.Size.Sub(f.keeps(m, nil, m.Size.GPUs)))
 		}
 	}
 	var js []*jobs.Job
--- a/internal/fleet/pass.go
+++ b/internal/fleet/pass.go
@@ -42,7 +42,7 @@
 
 // share finds what waiting work takes of a machine for each accelerator.
 func (f *Fleet) share() {
-	f.perGPU = planner.Size{}
+	f.perGPU, f.gpuWithin, f.gpuLevel = planner.Size{}, false, math.MinInt
 	clear(f.ordinary)
 	for _, j := range f.order {
 		if j.Idle() {
@@ -59,6 +59,12 @@
 		if s := j.Spec.Size(); s.GPUs > 0 && j.Left() > 0 && f.mistaken(j) == nil && f.mayStart(j, 1) {
 			f.perGPU.CPUs = max(f.perGPU.CPUs, s.CPUs/s.GPUs)
 			f.perGPU.Mem = max(f.perGPU.Mem, s.Mem/s.GPUs)
+			switch w := f.within[j.Index]; {
+			case w && !f.gpuWithin:
+				f.gpuWithin, f.gpuLevel = true, j.Level
+			case w == f.gpuWithin:
+				f.gpuLevel = max(f.gpuLevel, j.Level)
+			}
 		}
 	}
 }
--- a/internal/fleet/preempt.go
+++ b/internal/fleet/preempt.go
@@ -88,15 +88,17 @@
 		}
 		return cs[a].Task < cs[b].Task
 	})
+	// What must be left for accelerators counts: room that the job would not be let into was made again and again.
+	fits := func() bool { return size.Fits(free.Sub(f.keeps(m, j, free.GPUs))) }
 	for _, c := range cs {
-		if size.Fits(free) {
+		if fits() {
 			break
 		}
 		free = free.Add(f.job(c.Job).Spec.Size())
 		out = append(out, c.Ref)
 		lost += c.lost
 	}
-	return out, lost, size.Fits(free)
+	return out, lost, fits()
 }
 
 // sacrifice is what room for one task on a machine costs.
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -16,13 +16,23 @@
 // keeps is what tasks without an accelerator must leave of a machine, so that its idle
 // accelerators can be used by work that waits for them: small tasks that took every core
 // as it came free would never let a large one in.
-func (f *Fleet) keeps(m *Machine, s planner.Size, idle float64) planner.Size {
-	if s.GPUs > 0 || m.Size.GPUs == 0 || f.perGPU == (planner.Size{}) {
+// A job that ranks before all such work, nil for none, leaves nothing: it would stop that work for room which was then kept
+// for the same work, again and again.
+func (f *Fleet) keeps(m *Machine, j *jobs.Job, idle float64) planner.Size {
+	if m.Size.GPUs == 0 || f.perGPU == (planner.Size{}) || j != nil && (j.Spec.GPUs > 0 || f.goesBefore(j)) {
 		return planner.Size{}
 	}
 	return f.perGPU.Times(idle)
 }
 
+// goesBefore tells whether a job ranks before all work that waits for accelerators.
+func (f *Fleet) goesBefore(j *jobs.Job) bool {
+	if w := f.within[j.Index]; w != f.gpuWithin {
+		return w
+	}
+	return j.Level > f.gpuLevel
+}
+
 // yields is by how many seconds a job that may use spot machines puts off an ordinary one
 // which live jobs that may not use spot could need: they have no other.
 func (f *Fleet) yields(m *Machine, j *jobs.Job) float64 {
@@ -42,7 +52,7 @@
 	if m.claimRank < f.rankOf(j) {
 		free = free.Sub(m.claim)
 	}
-	free = free.Sub(f.keeps(m, s, m.Size.GPUs-m.Use.GPUs))
+	free = free.Sub(f.keeps(m, j, m.Size.GPUs-m.Use.GPUs))
 	if j.Spec.Kind == jobs.Array {
 		// Gangs already planned here wait only for their plan to be durable.
 		free = free.Sub(m.whole)
--- a/internal/fleet/why_test.go
+++ b/internal/fleet/why_test.go
@@ -80,7 +80,7 @@
 		case NoMachine:
 			for _, m := range f.machines {
 				if m.Condition == Acting && !m.Retiring && w.now-m.UpSince > time.Second && w.now-m.Heard < time.Second && f.allowed(m, j) &&
-					size.Fits(m.Size.Sub(f.keeps(m, size, m.Size.GPUs))) && w.now >= f.barren[j.Index] {
+					size.Fits(m.Size.Sub(f.keeps(m, j, m.Size.GPUs))) && w.now >= f.barren[j.Index] {
 					wrong(p, "machine "+m.Name+" may take it")
 				}
 			}
