Fleet: whatever its size and rank, a job begins within begin_s (240 s)

A gang that has missed its aims ranked behind every younger one, and guests behind everybody. From half the time on what has never started goes first: two tasks of arrays and services before everybody, gangs before others that lie within their guarantee like them, or don't. It ends with the first start, so it takes no turns with preemption; the age is that of the durable submission.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -159,6 +159,9 @@
 type Operator struct {
 	// HoldTTLMS is the life of a controller's hold without renewal.
 	HoldTTLMS int `hcl:"hold_ttl_ms,optional" validate:"gte=1000,lte=600000"`
+	// BeginS is within how long every job is to begin, seconds from its submission, whatever its size and rank, as far
+	// as there is room for it at all.
+	BeginS float64 `hcl:"begin_s,optional" validate:"gte=0"`
 	// SilentS is how long a machine may be silent before it is given back.
 	SilentS float64 `hcl:"silent_s,optional" validate:"gte=0"`
 	// IdleS is how long a machine may be idle before it is returned; 0 means as long as
@@ -320,6 +323,9 @@
 		// report before any lease ends.
 		o.HoldTTLMS = max(2000, min(6000, int(w.LeaseS*1000/3)))
 	}
+	if o.BeginS == 0 {
+		o.BeginS = 240
+	}
 	if o.SilentS == 0 {
 		o.SilentS = min(w.LeaseS, 3*w.ReportS+4)
 	}
--- a/internal/fleet/array.go
+++ b/internal/fleet/array.go
@@ -92,6 +92,9 @@
 	if f.mistaken(j) != nil {
 		slice = min(slice, 1)
 	}
+	if f.first[j.Index] {
+		slice = min(slice, beginTasks-j.In[jobs.Planned])
+	}
 	if slice <= 0 {
 		f.denied(j, 1)
 		return
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -154,7 +154,7 @@
 func New(env Env, term uint64, now time.Duration) *Fleet {
 	f := &Fleet{Env: env, Term: term, since: now, byName: map[string]*Machine{},
 		within: map[jobs.Index]bool{}, classes: map[int32]*classStats{}, LastReport: now,
-		hints: map[string][]cached{}, spread: map[jobs.Index]map[int32]int{}, barren: map[jobs.Index]time.Duration{}, pleaded: map[jobs.Index]time.Duration{}, failing: map[jobs.Index]*failing{},
+		hints: map[string][]cached{}, spread: map[jobs.Index]map[int32]int{}, barren: map[jobs.Index]time.Duration{}, pleaded: map[jobs.Index]time.Duration{}, failing: map[jobs.Index]*failing{}, first: map[jobs.Index]bool{},
 		unread: map[string]bool{}, grants: map[jobs.Index]licences.Grant{}, verdicts: map[jobs.Index]verdict{}, ordinary: map[int32]bool{}, kinds: map[int32]bool{}, listed: map[Ref]struct{}{}}
 	if f.Paged == nil {
 		f.Paged = func() bool { return true }
@@ -724,6 +724,7 @@
 	}
 	f.sortByRank(f.order, keys)
 	f.yieldPlaces(now, keys)
+	f.beginFirst(now)
 	f.rank = append(f.rank[:0], make([]int, f.Book.Len())...)
 	for i, j := range f.order {
 		f.rank[j.Index] = i + 1
--- /dev/null
+++ b/internal/fleet/floor.go
@@ -0,0 +1,66 @@
+package fleet
+
+// That every job begins: whatever its size and rank, within a time from its submission.
+
+import (
+	"slices"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/jobs"
+)
+
+// beginTasks is how many tasks of an array or a service go before everybody else once it is overdue to begin. That is
+// so little that nobody's guarantee feels it, and stops with its first start.
+const beginTasks = 2
+
+// beginAt is the part of the time in which every job is to begin after which one goes first: what a large gang needs is
+// gathered as tasks end, and that takes the rest.
+const beginAt = 0.5
+
+// overdue tells whether nothing of a job has ever started though it has waited for long. Its age counts from its
+// submission, which is durable, so that it survives a change of the lead.
+func (f *Fleet) overdue(now time.Duration, j *jobs.Job) bool {
+	limit := config.Seconds(beginAt * f.Settings.Operator.BeginS)
+	return limit > 0 && !j.Started && j.DoneN == 0 && j.On() == 0 && now-j.At > limit && f.mistaken(j) == nil && !j.Idle()
+}
+
+// beginFirst moves what is overdue to begin forward in the order of ranks: a few tasks of arrays and services before
+// everybody; gangs, which take more, before all others that lie within their team's guarantee like them, or don't. Without it
+// a large gang that has missed its aims ranks behind every younger one that still can meet them, for ever under a
+// constant stream, and guests behind everybody as long as anybody waits. It ends with a job's first start, so that
+// it and a job that may preempt it can't take turns.
+func (f *Fleet) beginFirst(now time.Duration) {
+	clear(f.first)
+	place := func(j *jobs.Job) int {
+		late := f.overdue(now, j)
+		switch {
+		case late && j.Spec.Kind != jobs.Gang:
+			f.first[j.Index] = true
+			return 0
+		case f.within[j.Index] && late:
+			return 1
+		case f.within[j.Index]:
+			return 2
+		case late:
+			return 3
+		}
+		return 4
+	}
+	places := make(map[jobs.Index]int, len(f.order))
+	moved := false
+	for _, j := range f.order {
+		p := place(j)
+		places[j.Index] = p
+		moved = moved || p%2 == 1 || p == 0
+	}
+	if !moved {
+		return
+	}
+	slices.SortStableFunc(f.order, func(a, b *jobs.Job) int {
+		if d := places[a.Index] - places[b.Index]; d != 0 || places[a.Index]%2 == 0 && places[a.Index] > 0 {
+			return d
+		}
+		return int(min(1, max(-1, a.At-b.At))) // the oldest first among those that are overdue
+	})
+}
--- /dev/null
+++ b/internal/fleet/floor_test.go
@@ -0,0 +1,153 @@
+package fleet
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+// The order of ranks against a plain one: what is overdue to begin goes forward by the rule, everybody else keeps the order
+// they have without it, and nothing that has begun moves.
+func TestWhatIsOverdueGoesFirst(t *testing.T) {
+	rng := rand.New(rand.NewPCG(4, 4))
+	moved := 0
+	for range 300 {
+		g := newRigOf(t, 1, map[string]json.RawMessage{}, []config.Team{{Name: "t", CPUs: 8}, {Name: "u"}})
+		for i := range 1 + rng.IntN(12) {
+			s := spec(i+1, 1+rng.IntN(6))
+			s.Kind = []jobs.Kind{jobs.Array, jobs.Gang, jobs.Service}[rng.IntN(3)]
+			s.Priority = []string{"prod", "urgent", "standard", "best_effort"}[rng.IntN(4)]
+			s.Team = []string{"t", "u"}[rng.IntN(2)]
+			j := g.submit(s)
+			j.At, j.Started = time.Duration(rng.IntN(300))*time.Second, rng.IntN(3) == 0
+		}
+		now := 300 * time.Second
+		g.Settings.Operator.BeginS = 0
+		g.Rank(now)
+		was := slices.Clone(g.order)
+		g.Settings.Operator.BeginS = 240
+		g.Rank(now)
+		var want []*jobs.Job
+		late := func(j *jobs.Job) bool { return !j.Started && now-j.At > 120*time.Second }
+		take := func(oldest bool, f func(*jobs.Job) bool) {
+			var js []*jobs.Job
+			for _, j := range was {
+				if f(j) {
+					js = append(js, j)
+				}
+			}
+			if oldest {
+				slices.SortStableFunc(js, func(a, b *jobs.Job) int { return int((a.At - b.At) / time.Second) })
+			}
+			want = append(want, js...)
+		}
+		gang := func(j *jobs.Job) bool { return j.Spec.Kind == jobs.Gang }
+		take(true, func(j *jobs.Job) bool { return late(j) && !gang(j) })
+		for _, within := range []bool{true, false} {
+			take(true, func(j *jobs.Job) bool { return late(j) && gang(j) && g.within[j.Index] == within })
+			take(false, func(j *jobs.Job) bool { return !late(j) && g.within[j.Index] == within })
+		}
+		if !slices.Equal(g.order, want) {
+			t.Fatalf("ranked otherwise")
+		}
+		if !slices.Equal(was, want) {
+			moved++
+		}
+	}
+	if moved < 100 {
+		t.Fatalf("only %d orders differ", moved)
+	}
+}
+
+// Under a constant stream of small gangs that are urgent still, a gang that needs all machines at once, and has missed what it
+// could aim for, begins within the time; without the rule it never does. Guests' idle-time array begins too.
+func TestTheLargestBegin(t *testing.T) {
+	began := func(beginS float64) (gang, guest time.Duration) {
+		g := newRigOf(t, 1, map[string]json.RawMessage{}, []config.Team{{Name: "t"}, {Name: "guest"}})
+		g.Settings.Operator.BeginS = beginS
+		g.Settings.Params.Objectives = []config.Objective{{Kind: "wait", Class: "c", WithinS: 30}}
+		on := map[string][]TaskReport{}
+		ends := map[string]time.Duration{}
+		names := []string{"m1", "m2", "m3", "m4"}
+		big := gang4()
+		var bigJob, guestJob *jobs.Job
+		rng := rand.New(rand.NewPCG(1, 2))
+		for n := 0; g.now < 400*time.Second; n++ {
+			g.now += 700 * time.Millisecond // and 300 more while writes settle
+			if n%3 == 0 {                   // more small ones than the machines can do
+				s := spec(100+n, 1)
+				s.Kind, s.CPUs, s.EstimateS = jobs.Gang, 3, 14
+				g.submit(s).At = g.now
+			}
+			if n == 40 {
+				bigJob = g.submit(big)
+				bigJob.At = g.now
+				s := spec(2, 50)
+				s.Team, s.Priority, s.EstimateS, s.Class, s.CPUs = "guest", "best_effort", 5, "idle", 2
+				guestJob = g.submit(s)
+				guestJob.At = g.now
+			}
+			for _, m := range names {
+				list := on[m][:0]
+				for _, k := range on[m] {
+					if g.now >= ends[k.Task] && k.State == running {
+						k.State, k.Why = exited, whyDone
+					}
+					list = append(list, k)
+				}
+				on[m] = list
+				for _, c := range g.see(m, "ty", false, on[m]...) {
+					switch c.Op {
+					case opStart:
+						on[m] = append(on[m], TaskReport{Task: c.Task, Attempt: c.Attempt, State: running})
+						ends[c.Task] = g.now + time.Duration(10+rng.IntN(8))*time.Second
+					case opForget:
+						on[m] = slices.DeleteFunc(on[m], func(k TaskReport) bool { return k.Task == c.Task })
+					}
+				}
+			}
+			g.settle3(store.Committed)
+			if bigJob != nil && bigJob.Started && gang == 0 {
+				gang = g.now - bigJob.At
+			}
+			if guestJob != nil && guestJob.Started && guest == 0 {
+				guest = g.now - guestJob.At
+			}
+		}
+		return gang, guest
+	}
+	gang, guest := began(240)
+	t.Logf("with the rule the gang begins after %v, the guests after %v", gang, guest)
+	if gang == 0 || gang > 240*time.Second || guest == 0 || guest > 240*time.Second {
+		t.Errorf("the gang begins after %v, the guests after %v", gang, guest)
+	}
+	if gang, guest = began(0); gang > 0 && gang < 240*time.Second && guest > 0 && guest < 240*time.Second {
+		t.Errorf("without the rule they begin too, after %v and %v: the test shows nothing", gang, guest)
+	}
+	t.Logf("without the rule after %v and %v (0: never)", gang, guest)
+}
+
+func gang4() *jobs.Spec {
+	s := spec(1, 4)
+	s.Kind, s.CPUs, s.EstimateS, s.Class = jobs.Gang, 4, 20, "big"
+	return s
+}
+
+// settle3 answers all open writes for 300 ms.
+func (g *rig) settle3(o store.Outcome) {
+	for range 3 {
+		g.now += 100 * time.Millisecond
+		g.Tick(g.now, false)
+		for len(g.commit) > 0 {
+			c := g.commit[0]
+			g.commit = g.commit[1:]
+			c(o)
+		}
+	}
+}
