Capacity: what boots take is learned by type and zone, the overdue are replaced one by one

Machines that come up late by a multiple of their time, or never: a whole batch that was late together stopped counting in one second and was rented anew, so that both came; one that never came was paid for over five boots. Now a boot counts until a quarter more than nine of ten took lately in its zone (before anything is known, 2.2 times the usual and 10 s, as before); those that are overdue are given up on one after the other over as long again, and given back at twice that time (150 to 280 s instead of 225 to 300).

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -150,6 +150,7 @@
 	since     time.Duration // of authority, see Tick
 	claims    uint64
 	boots     map[string]*boot
+	took      bootTimes
 	refused   map[offer]time.Duration
 	renting   bool
 	listing   bool
@@ -169,7 +170,7 @@
 // New starts a manager for a term.
 func New(s *config.Settings, c *Cloud, f *fleet.Fleet, d *jobs.Door, types func() []MachineType, term uint64) *Manager {
 	m := &Manager{Settings: s, Cloud: c, Fleet: f, Door: d, Types: types, Term: term,
-		boots: map[string]*boot{}, zones: map[int32]int{}, refused: map[offer]time.Duration{}, toReturn: map[string]string{}, gone: map[string]time.Duration{}}
+		boots: map[string]*boot{}, took: bootTimes{}, zones: map[int32]int{}, refused: map[offer]time.Duration{}, toReturn: map[string]string{}, gone: map[string]time.Duration{}}
 	z := s.Zones()
 	m.Zones = zones.New(zones.Config{Patience: z.Patience, Prove: z.Prove, Calm: z.Calm, Turned: m.zoneTurned})
 	f.Zones = m.Zones.Takes
@@ -299,12 +300,13 @@
 func (c *Manager) judge(now time.Duration, steady bool) {
 	for name, b := range c.boots {
 		if m := c.Fleet.Find(name); m != nil && m.Session > 0 {
+			c.took.took(b.offer, now-b.since)
 			delete(c.boots, name)
 			continue
 		}
 		// Some take several times as long as usual; far beyond that it is one of the
 		// few that never come up.
-		if t := c.typ(b.typ); t != nil && now-b.since > config.Seconds(max(5*t.BootS, 120)) {
+		if t := c.typ(b.typ); t != nil && now-b.since > c.took.givenUp(b.offer, t.BootS) {
 			c.toReturn[name] = "never came up"
 		}
 	}
@@ -542,10 +544,11 @@
 		}
 		bins = append(bins, b)
 	}
-	for _, bt := range c.boots {
+	overdue := c.overdue(now)
+	for name, bt := range c.boots {
 		c.zones[bt.zone]++ // or one request after the other would go to the same zone
 		// One that is far overdue is not counted on any more.
-		if t := c.typ(bt.typ); t != nil && now-bt.since < config.Seconds(2.2*t.BootS+10) {
+		if t := c.typ(bt.typ); t != nil && !overdue[name] {
 			bins = append(bins, &bin{bt.offer, t.Size().Times(horizon)})
 		}
 	}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -245,6 +245,43 @@
 	}
 }
 
+// What boots take is learned by type and zone: after some that took long their like are waited for longer, elsewhere not;
+// what is overdue is replaced one after the other and not as a wave, and given back in the end.
+func TestOverdueBoots(t *testing.T) {
+	b := setup(t)
+	m := b.Manager
+	typ := m.Door.Types.Index(m.Types()[0].Name)
+	here, there := offer{typ, m.Door.Zones.Index("a"), false}, offer{typ, m.Door.Zones.Index("b"), false}
+	bootS := m.Types()[0].BootS
+	plain := m.took.usual(here, bootS)
+	for range 6 {
+		m.took.took(here, 2*plain)
+	}
+	if got := m.took.usual(here, bootS); got < 2*plain || got > 4*plain || m.took.usual(there, bootS) != plain {
+		t.Fatalf("waits %v here, %v there, %v at first", got, m.took.usual(there, bootS), plain)
+	}
+	for range 30 {
+		m.took.took(here, plain/4)
+	}
+	if got := m.took.usual(here, bootS); got >= plain {
+		t.Fatalf("waits %v after many quick ones", got)
+	}
+	for i := range 40 {
+		m.boots[fmt.Sprintf("i-%03d", i)] = &boot{there, 0}
+	}
+	last := 0
+	for at := plain - time.Second; at < 2*plain+2*time.Second; at += time.Second {
+		n := len(m.overdue(at))
+		if n < last || n-last > 2 {
+			t.Fatalf("%v: %d boots are replaced at once", at, n-last)
+		}
+		last = n
+	}
+	if last != 40 {
+		t.Fatalf("%d of 40 are replaced in the end", last)
+	}
+}
+
 // An answer of the cloud that comes after the term touches nothing of it. This once ended
 // the controller.
 func TestAnswersAfterTheTerm(t *testing.T) {
