--- a/internal/fleet/floor_test.go
+++ b/internal/fleet/floor_test.go
@@ -133,6 +133,34 @@
 	t.Logf("without the rule after %v and %v (0: never)", gang, guest)
 }
 
+// Guests without accelerators on machines that all have them, for which other work always waits: no lane was left for them.
+func TestGuestsBeginBesideAccelerators(t *testing.T) {
+	for _, beginS := range []float64{240, 0} {
+		g := mixed(t)
+		g.Settings.Operator.BeginS = beginS
+		on := map[string][]TaskReport{}
+		g.see("g1", "gpu", false)
+		for n, cpus := range []float64{5, 6} { // the larger ones wait for ever, and leave nothing beside them
+			s := spec(10+n, 2)
+			s.GPUs, s.CPUs, s.EstimateS = 1, cpus, 1000
+			g.submit(s)
+			g.settle3(store.Committed)
+			g.runAll("g1", "gpu", on)
+		}
+		guest := spec(2, 5)
+		guest.Priority, guest.Class = "best_effort", "idle"
+		j := g.submit(guest)
+		for range 160 {
+			g.now += time.Second
+			g.runAll("g1", "gpu", on)
+			g.settle3(store.Committed)
+		}
+		if began := j.Started; began != (beginS > 0) {
+			t.Errorf("begin_s %v: the guests began: %v", beginS, began)
+		}
+	}
+}
+
 func gang4() *jobs.Spec {
 	s := spec(1, 4)
 	s.Kind, s.CPUs, s.EstimateS, s.Class = jobs.Gang, 4, 20, "big"
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -16,10 +16,10 @@
 // keeps is what tasks without an accelerator must leave of a machine, so that its idle
 // accelerators can be used by work that waits for them: small tasks that took every core
 // as it came free would never let a large one in.
-// A job that ranks before all such work, nil for none, leaves nothing: it would stop that work for room which was then kept
+// A job that ranks before all such work, or is overdue to begin, nil for none, leaves nothing: it would stop that work for room which was then kept
 // for the same work, again and again.
 func (f *Fleet) keeps(m *Machine, j *jobs.Job, idle float64) planner.Size {
-	if m.Size.GPUs == 0 || f.perGPU == (planner.Size{}) || j != nil && (j.Spec.GPUs > 0 || f.goesBefore(j)) {
+	if m.Size.GPUs == 0 || f.perGPU == (planner.Size{}) || j != nil && (j.Spec.GPUs > 0 || f.first[j.Index] || f.goesBefore(j)) {
 		return planner.Size{}
 	}
 	return f.perGPU.Times(idle)
