Why: a large gang is told on how many machines room is kept for it, and that it goes first

Needed to see from outside what the rule about beginning does; job starts are logged with their number of tasks, so that waits can be read by size.

--- a/internal/fleet/floor_test.go
+++ b/internal/fleet/floor_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,6 +69,7 @@
 // Under a constant stream of small gangs that are urgent still, a gang that needs all machines at once, and has missed what it
 // could aim for, begins within the time; without the rule it never does. Guests' idle-time array begins too.
 func TestTheLargestBegin(t *testing.T) {
+	told := false
 	began := func(beginS float64) (gang, guest time.Duration) {
 		g := newRigOf(t, 1, map[string]json.RawMessage{}, []config.Team{{Name: "t"}, {Name: "guest"}})
 		g.Settings.Operator.BeginS = beginS
@@ -113,6 +115,10 @@
 				}
 			}
 			g.settle3(store.Committed)
+			if bigJob != nil && !bigJob.Started && beginS < 1000 && beginS > 0 && g.now-bigJob.At > 125*time.Second {
+				why := g.Why(g.now, bigJob)
+				told = told || len(why) == 1 && why[0].Why == GangShort && strings.Contains(why[0].Text, "kept for it") && strings.Contains(why[0].Text, "goes first")
+			}
 			if bigJob != nil && bigJob.Started && gang == 0 {
 				gang = g.now - bigJob.At
 			}
@@ -123,6 +129,9 @@
 		return gang, guest
 	}
 	gang, guest := began(240)
+	if !told {
+		t.Error("nobody who asks why it waits is told what is kept for it")
+	}
 	t.Logf("with the rule the gang begins after %v, the guests after %v", gang, guest)
 	if gang == 0 || gang > 240*time.Second || guest == 0 || guest > 240*time.Second {
 		t.Errorf("the gang begins after %v, the guests after %v", gang, guest)
--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -197,7 +197,9 @@
 	if start > f.canWait(now, j) && f.preemptFor(now, j, fd.ps, start) {
 		return
 	}
-	f.claim(j, fd, zone)
+	v := f.verdicts[j.Index]
+	v.held, v.overdue = f.claim(j, fd, zone), f.overdue(now, j)
+	f.note(j, v)
 }
 
 // placeIn plans a gang on machines that have room now.
@@ -247,10 +249,10 @@
 	return zone, 1e6
 }
 
-// claim keeps what frees up first for a gang.
-func (f *Fleet) claim(j *jobs.Job, fd *field, zone int32) {
+// claim keeps what frees up first for a gang, and tells on how many machines.
+func (f *Fleet) claim(j *jobs.Job, fd *field, zone int32) (n int) {
 	i := fd.claimed[zone]
-	for n := 0; i < len(fd.ps) && n < j.N; i++ {
+	for ; i < len(fd.ps) && n < j.N; i++ {
 		m := fd.ps[i].m
 		if (zone == jobs.None || m.Zone == zone) && (m.claimRank > f.rankOf(j) || m.claim == (planner.Size{})) {
 			m.claim, m.claimRank = j.Spec.Size(), f.rankOf(j)
@@ -259,6 +261,7 @@
 		f.Steps++
 	}
 	fd.claimed[zone] = i
+	return n
 }
 
 // InZones counts a job's tasks by zone, those that are planned with those on machines, but not on machines that
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -110,7 +110,7 @@
 	k := &j.Tasks[t]
 	k.Since, k.RunSince, k.Attempt = now, 0, attempt
 	if !j.Started {
-		slog.Info("job starts", "job", j.ID, "class", j.Spec.Class, "machine", m.Name, "waited_s", int((now - j.At).Seconds()),
+		slog.Info("job starts", "job", j.ID, "class", j.Spec.Class, "tasks", j.N, "machine", m.Name, "waited_s", int((now - j.At).Seconds()),
 			"fetch_s", int(f.fetchS(j, m)), "term", f.Term)
 	}
 	j.Started = true
--- a/internal/fleet/why.go
+++ b/internal/fleet/why.go
@@ -39,6 +39,8 @@
 	cause      Cause
 	denial     admission.Denial
 	have, need int           // machines with room, and tasks, of a gang
+	held       int           // machines that are kept for a gang as they come free
+	overdue    bool          // it goes first, since it has waited for long
 	until      time.Duration // Retry: not before
 	start      float64       // seconds until it could start, as estimated; 0: unknown
 }
@@ -140,7 +142,14 @@
 			add(n, v.cause, "no machine that may take it has room now%s", soon(v.start))
 			break
 		}
-		add(n, v.cause, "a gang of %d tasks needs as many places at once; %d machines have room now%s", v.need, v.have, soon(v.start))
+		keeping := ""
+		if v.held > 0 {
+			keeping = fmt.Sprintf("; %d machines are kept for it as they come free", v.held)
+		}
+		if v.overdue {
+			keeping += "; it goes first, having waited for half of begin_s"
+		}
+		add(n, v.cause, "a gang of %d tasks needs as many places at once; %d machines have room now%s%s", v.need, v.have, soon(v.start), keeping)
 	case NoRoom:
 		add(n, v.cause, "no machine that may take a replica has room")
 	case Failing:
