Sockets no longer bound the fleet: beyond three quarters, workers' connections end with each answer

A worker's connection need not stay open; where many are, it ends with the answer, and the next report costs a handshake. max_machines is 0.95 of the sockets now.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -104,6 +104,10 @@
 	return max(1, min(or(l.Sockets, anySockets)*7/10, int(l.Memory()*0.6*(1<<20)/MaxBody)))
 }
 
+// Crowded is how many connections are open when those of workers no longer stay open after an answer: the rest is left
+// for those that come in, for users, whom the load balancer spreads over all controllers, and for health checks.
+func (l Limits) Crowded() int { return max(1, l.Conns()*3/4) }
+
 // Outgoing is how many requests of a kind may be under way, at most most.
 func (l Limits) Outgoing(most int) int { return max(4, min(most, or(l.Sockets, anySockets)/10)) }
 
@@ -333,11 +337,10 @@
 		o.Headroom = 0.1
 	}
 	if o.MaxMachines == 0 {
-		// Every machine takes a connection, and memory for its tasks and plans. A twentieth of
-		// the sockets is left of those that are taken from outside: for users, whom the load
-		// balancer spreads over all controllers, and for health checks.
+		// Every machine takes memory for its tasks and plans. Its connection need not stay open: beyond Crowded it
+		// is made anew for each report, so that sockets bound how many report in one moment, not how many there are.
 		l := s.Params.Limits
-		o.MaxMachines = max(1, min(or(l.Sockets, anySockets)*13/20, l.Conns(), int(l.Memory()*8)))
+		o.MaxMachines = max(1, min(or(l.Sockets, anySockets)*19/20, int(l.Memory()*8)))
 	}
 	for i := range o.Licences {
 		if o.Licences[i].OnLower == "" {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -214,7 +214,7 @@
 	go peers.Serve(back, func(s peers.Status) { c.loop.Offer(func() { c.hear(s) }) })
 	fail := make(chan error, 2)
 	routes := intake.Routes{Post: c.loop.Offer, PostReport: c.loop.OfferWorker, Now: c.loop.Now, Intake: c.in, Up: c.up,
-		Report: c.report, Leader: c.leaderCalls(), MaxConns: c.s.Params.Limits.Conns(), Users: c.s.Users(), Counter: &c.answers}
+		Report: c.report, Leader: c.leaderCalls(), MaxConns: c.s.Params.Limits.Conns(), Crowded: c.s.Params.Limits.Crowded(), Users: c.s.Users(), Counter: &c.answers}
 	if t := c.s.Operator.TLS; t != nil {
 		secure, err := net.Listen("tcp", t.Listen)
 		if err != nil {
@@ -222,8 +222,8 @@
 		}
 		// The connections that are taken from outside are shared out.
 		over := routes
-		over.MaxConns = max(1, routes.MaxConns/4)
-		routes.MaxConns -= over.MaxConns
+		over.MaxConns, over.Crowded = max(1, routes.MaxConns/4), max(1, routes.Crowded/4)
+		routes.MaxConns, routes.Crowded = routes.MaxConns-over.MaxConns, max(1, routes.Crowded-over.Crowded)
 		routes.WorkersOnly = t.Plain == "workers"
 		go func() { fail <- intake.Serve(tls.NewListener(secure, c.s.Keys().Users()), over) }()
 	}
--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -25,8 +25,8 @@
 	Report           func(now time.Duration, r *fleet.Report, reply func(Reply))
 	// Leader answers what only the leader can.
 	Leader *Leader
-	// MaxConns bounds open connections.
-	MaxConns int
+	// MaxConns bounds open connections; beyond Crowded those of workers end with each answer.
+	MaxConns, Crowded int
 	// Counter counts what is answered; nil for nobody.
 	Counter *Counter
 	// Users are asked for their tokens, unless it is nil. WorkersOnly refuses everybody but
@@ -76,6 +76,10 @@
 		if err != nil {
 			return send(c, refuse(400, "not a report"))
 		}
+		// A fleet larger than the sockets reports over connections that are made anew: it was the sockets that bounded it.
+		if int(app.Server().GetOpenConnectionsCount()) > r.Crowded {
+			c.Response().SetConnectionClose()
+		}
 		return r.wait(c, r.PostReport, workerWait, r.Counter.worker, func(reply func(Reply)) { r.Report(r.Now(), rep, reply) })
 	})
 	if r.WorkersOnly {
--- a/internal/intake/http_test.go
+++ b/internal/intake/http_test.go
@@ -40,7 +40,7 @@
 		_ = Serve(ln, Routes{Post: post, PostReport: post, Now: func() time.Duration { return 0 }, Intake: d.Intake, Up: func() bool { return true },
 			Report:   func(_ time.Duration, _ *fleet.Report, reply func(Reply)) { reply(Reply{Status: 200}) },
 			Leader:   &Leader{Licences: true, Sessions: true, Answer: func(_ time.Duration, _ Call, reply func(Reply)) { reply(Reply{Status: 200}) }},
-			MaxConns: 10, Users: users})
+			MaxConns: 10, Crowded: 10, Users: users})
 	}()
 	defer func() { _ = ln.Close() }()
 	ask := func(method, path, bearer string) int {
@@ -82,3 +82,54 @@
 		t.Errorf("a user's command: %d", got)
 	}
 }
+
+// Beyond a number of open connections those of workers end with each answer, so that many more machines report than there are
+// sockets; users' stay. All hundred are answered over and over, with twenty sockets of which ten may be open.
+func TestMoreWorkersThanSockets(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	post := func(f func()) bool { f(); return true }
+	go func() {
+		_ = Serve(ln, Routes{Post: post, PostReport: post, Now: func() time.Duration { return 0 }, Intake: newDesk(state.New()).Intake, Up: func() bool { return true },
+			Report: func(_ time.Duration, _ *fleet.Report, reply func(Reply)) { reply(Reply{Status: 200}) }, Leader: &Leader{}, MaxConns: 20, Crowded: 10})
+	}()
+	defer func() { _ = ln.Close() }()
+	stay := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}}
+	ask := func(method, path, body string) (status int, closes bool) {
+		q, _ := http.NewRequest(method, "http://"+ln.Addr().String()+path, strings.NewReader(body))
+		r, err := stay.Do(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = r.Body.Close()
+		return r.StatusCode, r.Close
+	}
+	var held []net.Conn
+	for range 12 { // others that are connected
+		c, err := net.Dial("tcp4", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Write([]byte("GET /up HTTP/1.1\r\nHost: x\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Read(make([]byte, 1024)); err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, c)
+	}
+	for i := range 100 {
+		body := fmt.Sprintf(`{"den":"i-%d","address":"x","build":"b","meadow":"a","run":1,"tally":%d,"hops":[]}`, i%50, i)
+		if status, closes := ask("POST", "/checkin", body); status != 200 || !closes {
+			t.Fatalf("report %d: status %d, the connection ends: %v", i, status, closes)
+		}
+	}
+	if status, closes := ask("GET", "/up", ""); status != 200 || closes {
+		t.Errorf("a user's connection ends: %v, status %d", closes, status)
+	}
+	for _, c := range held {
+		_ = c.Close()
+	}
+}
