Fleet: a service that ran for long is in order when it fails; two replicas at a time go first

Found on re-reading the change: a service is never done, so that two crashes of its replicas on two machines, weeks apart perhaps, made it a mistaken job that is tried one replica at a time. One that has run for 30 s proves it.

--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -317,7 +317,7 @@
 		}
 		f.plan(now, j, int32(t), fd.ps[i].m)
 		use[fd.ps[i].m.Zone]++
-		if f.mistaken(j) != nil {
+		if f.mistaken(j) != nil || f.first[j.Index] && j.In[jobs.Planned] >= beginTasks {
 			return
 		}
 	}
--- a/internal/fleet/mistake.go
+++ b/internal/fleet/mistake.go
@@ -15,7 +15,7 @@
 
 // The standings of a job.
 //
-//	Untried  -> Proven    a task is done
+//	Untried  -> Proven    a task is done, or a replica ran for long
 //	Untried  -> Mistaken  tasks fail on several machines and none is done
 //	Mistaken -> Proven    one is done after all: the machines were at fault
 const (
@@ -78,8 +78,14 @@
 	f.note(j, verdict{cause: Failing, have: r.machines, need: r.tries, until: r.until})
 }
 
+// provenS is how long a replica of a service must have run to say that its job is in order: it is never done.
+const provenS = 30
+
 // failed notes that a task of a job failed on a machine.
-func (f *Fleet) failed(now time.Duration, m *Machine, j *jobs.Job) {
+func (f *Fleet) failed(now time.Duration, m *Machine, j *jobs.Job, t int32) {
+	if k := &j.Tasks[t]; j.Spec.Kind == jobs.Service && k.RunSince > 0 && now-k.RunSince >= provenS*time.Second {
+		f.proves(j, m)
+	}
 	r := f.failing[j.Index]
 	if r == nil {
 		r = &failing{}
@@ -120,7 +126,12 @@
 // proves notes that a task of a job is done.
 func (f *Fleet) proves(j *jobs.Job, m *Machine) {
 	m.failed = m.failed[:0]
-	if r := f.failing[j.Index]; r != nil && r.standing != Proven {
+	r := f.failing[j.Index]
+	if r == nil && j.Spec.Kind == jobs.Service {
+		r = &failing{}
+		f.failing[j.Index] = r
+	}
+	if r != nil && r.standing != Proven {
 		f.stands(j, r, Proven)
 		r.on, r.until, r.tries = nil, 0, 0
 		f.news = true
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -310,7 +310,7 @@
 		k.Fails = min(k.Fails+1, 6)
 		k.Until = now + time.Second<<k.Fails
 		f.avoid(now, m, j)
-		f.failed(now, m, j)
+		f.failed(now, m, j, t)
 	case whyNoRoom, whyUnknown:
 		k.Until = now + 2*time.Second
 	}
