--- a/internal/fleet/hearing.go
+++ b/internal/fleet/hearing.go
@@ -26,6 +26,8 @@
 	witness Command
 	// seen is the highest token in any report of the machine's present life. A worker never goes back behind it.
 	seen uint64
+	// over is the last session whose lease has surely run out.
+	over uint64
 	// dare is a token that was raised to tell a machine that has restarted from copies of what it said before: no report
 	// of the past can carry it. 0: none is out, or it was taken up.
 	dare      uint64
@@ -92,7 +94,7 @@
 	case r.Seq <= m.Seq, r.Token < m.hearing.seen:
 		return true
 	}
-	return m.Condition == Lost
+	return r.Session <= m.hearing.over
 }
 
 // tookDare tells whether a report carries the token that nobody had before the machine was dared: whatever its session and
--- a/internal/fleet/hearing_test.go
+++ b/internal/fleet/hearing_test.go
@@ -94,13 +94,8 @@
 	if l.without == "old reports are void" && len(l.machines) > 0 && c.Session == l.machines[0].Session {
 		c.Seq = l.machines[0].Seq + 1
 	}
-	if m := l.Find("m"); l.without == "a lost session is over" && m != nil && m.Condition == Lost {
-		m.Condition = Noticed
-		defer func() {
-			if m.Condition == Noticed {
-				m.Condition = Lost
-			}
-		}()
+	if m := l.Find("m"); l.without == "a lost session is over" && m != nil {
+		m.hearing.over = 0
 	}
 	return l.Report(l.now, &c)
 }
@@ -328,3 +323,27 @@
 		}
 	}
 }
+
+// A machine whose lease ran out acts again with the second report of its new session: the first, at a former token, brings it
+// ours. Once only the first was taken, and a whole zone that came back waited for 5 s and counted as lost again.
+func TestLostAndBack(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		g := newRig(t, 2, map[string]json.RawMessage{})
+		m := g.Machine(0, "m")
+		if known {
+			g.hear("m", 1, 2*fenced)
+			g.hear("m", 1, 2*fenced)
+		}
+		g.now += 30 * time.Second
+		if g.Tick(g.now, true); m.Condition != Lost {
+			t.Fatal(m.Condition)
+		}
+		for _, token := range []uint64{fenced, fenced, 2 * fenced} { // the answer to the first is lost
+			g.now += time.Second
+			g.hear("m", 2, token)
+		}
+		if m.Condition != Acting {
+			t.Errorf("known before: %v: it is %s", known, m.Condition)
+		}
+	}
+}
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -21,6 +21,7 @@
 			continue
 		}
 		f.condition(m, Lost, "lease ran out")
+		m.hearing.over = m.Session
 		f.abandon(now, m)
 	}
 }
