--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -209,16 +209,38 @@
 	}
 }
 
+// ended waits until the other side ends a connection, on which it says nothing. Writing alone doesn't show that: after a
+// controller had stood still for more than the other's patience, what it wrote went nowhere for as long as the socket
+// took it, and a leader never learned that its workers asked that controller.
+func ended(c net.Conn, over chan<- struct{}) {
+	defer close(over)
+	for buf := make([]byte, 16); ; {
+		if _, err := c.Read(buf); err != nil {
+			return
+		}
+	}
+}
+
 func (l *Link) run() {
 	var conn net.Conn
+	var over chan struct{} // closed when the other side has ended the connection
 	for raw := range l.out {
+		if conn != nil {
+			select {
+			case <-over:
+				_ = conn.Close()
+				conn = nil
+			default:
+			}
+		}
 		if conn == nil {
 			c, err := l.dial()
 			if err != nil {
 				slog.Debug("peer not reached", "cause", err)
 				continue
 			}
-			conn = c
+			conn, over = c, make(chan struct{})
+			go ended(c, over)
 		}
 		_ = conn.SetWriteDeadline(time.Now().Add(2 * time.Second))
 		if err := WriteFrame(conn, raw); err != nil {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"io"
 	"math/rand/v2"
+	"net"
 	"reflect"
 	"testing"
+	"time"
 )
 
 func sample() Status {
@@ -55,3 +58,44 @@
 		t.Fatal("a frame of 4 GiB was taken")
 	}
 }
+
+// deadEnd is a connection that takes whatever is written, though the other side has ended it.
+type deadEnd struct {
+	net.Conn
+	end   chan struct{}
+	wrote chan []byte
+}
+
+func (d *deadEnd) Read([]byte) (int, error)         { <-d.end; return 0, io.EOF }
+func (d *deadEnd) Write(b []byte) (int, error)      { d.wrote <- b; return len(b), nil }
+func (d *deadEnd) SetWriteDeadline(time.Time) error { return nil }
+func (d *deadEnd) Close() error                     { return nil }
+
+// The other side ends a connection because nothing came for long: whatever is said next goes over a new one, even where the
+// socket would take it.
+func TestLinkNoticesTheOtherEnd(t *testing.T) {
+	wrote := make(chan []byte, 10)
+	dialled := make(chan *deadEnd, 10)
+	l := NewLink(func() (net.Conn, error) {
+		c := &deadEnd{end: make(chan struct{}), wrote: wrote}
+		dialled <- c
+		return c, nil
+	})
+	l.Send([]byte("one"))
+	first := <-dialled
+	<-wrote
+	close(first.end)
+	for n := 0; ; n++ { // the end may be noticed a moment later
+		l.Send([]byte("two"))
+		<-wrote
+		select {
+		case <-dialled:
+			return
+		default:
+			if n > 1000 {
+				t.Fatal("still written to a connection that has ended")
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
