Tidy: one way to settle a rig, to ask about the crowd, to start a leader alone; words for the new troubles

Scripts and the lab say deaf-machine, deaf-machines ZONE, mute-machine, restart-machine, late-boots, no-boots, copies, cut-off-leader and unheard-leader. Behaviour as it was.

--- a/internal/fleet/floor_test.go
+++ b/internal/fleet/floor_test.go
@@ -114,7 +114,7 @@
 					}
 				}
 			}
-			g.settle3(store.Committed)
+			g.settleFor(3, store.Committed)
 			if bigJob != nil && !bigJob.Started && beginS < 1000 && beginS > 0 && g.now-bigJob.At > 125*time.Second {
 				why := g.Why(g.now, bigJob)
 				told = told || len(why) == 1 && why[0].Why == GangShort && strings.Contains(why[0].Text, "kept for it") && strings.Contains(why[0].Text, "goes first")
@@ -153,7 +153,7 @@
 			s := spec(10+n, 2)
 			s.GPUs, s.CPUs, s.EstimateS = 1, cpus, 1000
 			g.submit(s)
-			g.settle3(store.Committed)
+			g.settleFor(3, store.Committed)
 			g.runAll("g1", "gpu", on)
 		}
 		guest := spec(2, 5)
@@ -162,7 +162,7 @@
 		for range 160 {
 			g.now += time.Second
 			g.runAll("g1", "gpu", on)
-			g.settle3(store.Committed)
+			g.settleFor(3, store.Committed)
 		}
 		if began := j.Started; began != (beginS > 0) {
 			t.Errorf("begin_s %v: the guests began: %v", beginS, began)
@@ -175,16 +175,3 @@
 	s.Kind, s.CPUs, s.EstimateS, s.Class = jobs.Gang, 4, 20, "big"
 	return s
 }
-
-// settle3 answers all open writes for 300 ms.
-func (g *rig) settle3(o store.Outcome) {
-	for range 3 {
-		g.now += 100 * time.Millisecond
-		g.Tick(g.now, false)
-		for len(g.commit) > 0 {
-			c := g.commit[0]
-			g.commit = g.commit[1:]
-			c(o)
-		}
-	}
-}
--- a/internal/fleet/guards_test.go
+++ b/internal/fleet/guards_test.go
@@ -120,8 +120,11 @@
 }
 
 // settle answers all open writes and ticks until nothing is written any more.
-func (g *rig) settle(o store.Outcome) {
-	for range 20 {
+func (g *rig) settle(o store.Outcome) { g.settleFor(20, o) }
+
+// settleFor does so for a number of ticks, a tenth of a second each.
+func (g *rig) settleFor(ticks int, o store.Outcome) {
+	for range ticks {
 		g.now += 100 * time.Millisecond
 		g.Tick(g.now, false)
 		for len(g.commit) > 0 {
--- a/internal/fleet/hearing_test.go
+++ b/internal/fleet/hearing_test.go
@@ -48,17 +48,7 @@
 }
 
 // quick lets a moment pass, with all writes stored.
-func (l *lone) quick() {
-	for range 3 {
-		l.now += 100 * time.Millisecond
-		l.Tick(l.now, false)
-		for len(l.commit) > 0 {
-			c := l.commit[0]
-			l.commit = l.commit[1:]
-			c(store.Committed)
-		}
-	}
-}
+func (l *lone) quick() { l.settleFor(3, store.Committed) }
 
 func (l *lone) expireLease() {
 	if l.now-l.base > l.Settings.Lease() {
--- a/internal/fleet/mistake_test.go
+++ b/internal/fleet/mistake_test.go
@@ -73,7 +73,7 @@
 				g.hear(name, 1, fenced)
 			}
 		}
-		g.settle3(store.Committed)
+		g.settleFor(3, store.Committed)
 	}
 	r := g.mistaken(j)
 	if r == nil || len(gaps) < 3 || gaps[len(gaps)-1] < 16*time.Second {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -280,24 +280,15 @@
 
 // A restarted leader ends the hold of its former process instead of waiting for it.
 func TestRestartIsFasterThanTheHold(t *testing.T) {
-	c := newCluster(t, 2)
-	c.runFor(3 * time.Second)
-	l := c.leader()
-	for _, n := range c.nodes {
-		n.gen++
-		n.mem = nil
-	}
-	l.start()
-	c.runFor(time.Second)
+	c, l := onlyTheLeaderBack(t, 2)
 	if c.leader() != l {
 		t.Fatal("the restarted leader waits for its own former hold")
 	}
 }
 
-// A campaign of a former process lands after the new one, back at once, has cleared its past away: it names a hold that
-// the new one doesn't have. Nobody would lead for as long as that hold lives.
-func TestFormerCampaignLandsLate(t *testing.T) {
-	c := newCluster(t, 3)
+// onlyTheLeaderBack ends all controllers of a cluster and starts the one that led again, a second ago.
+func onlyTheLeaderBack(t *testing.T, seed uint64) (*cluster, *node) {
+	c := newCluster(t, seed)
 	c.runFor(3 * time.Second)
 	l := c.leader()
 	for _, n := range c.nodes {
@@ -306,6 +297,13 @@
 	}
 	l.start()
 	c.runFor(time.Second)
+	return c, l
+}
+
+// A campaign of a former process lands after the new one, back at once, has cleared its past away: it names a hold that
+// the new one doesn't have. Nobody would lead for as long as that hold lives.
+func TestFormerCampaignLandsLate(t *testing.T) {
+	c, l := onlyTheLeaderBack(t, 3)
 	// It loses the lead to what its former process had under way, on a hold that is alive still.
 	body := func(method, path, raw string) httpio.Response {
 		return c.svc.Serve(httpio.Request{Method: method, Path: path, Body: []byte(raw)})
--- a/internal/world/script.go
+++ b/internal/world/script.go
@@ -34,6 +34,19 @@
 	"notice":       {"t", func(d time.Duration, _ int, _ string) func(*World) { return func(w *World) { w.Notice(d) } }},
 	"outage":       {"t", func(d time.Duration, _ int, _ string) func(*World) { return during(d, (*World).Outage) }},
 	"cloud-outage": {"t", func(d time.Duration, _ int, _ string) func(*World) { return during(d, (*World).CloudOutage) }},
+	"deaf-machine": {"t", func(d time.Duration, _ int, _ string) func(*World) { return func(w *World) { w.Deafen(1, "", d) } }},
+	"mute-machine": {"t", func(d time.Duration, _ int, _ string) func(*World) { return func(w *World) { w.Silence(1, "", d) } }},
+	"deaf-machines": {"zt", func(d time.Duration, _ int, zone string) func(*World) {
+		return func(w *World) { w.Deafen(1<<30, zone, d) }
+	}},
+	"restart-machine": {"t", func(d time.Duration, _ int, _ string) func(*World) { return func(w *World) { w.Rebirth("", d) } }},
+	"late-boots":      {"t", bootsFor(lateBy, 0)},
+	"no-boots":        {"t", bootsFor(1, 1)},
+	"copies": {"t", func(d time.Duration, _ int, _ string) func(*World) {
+		return during(d, func(w *World, on bool) {
+			w.Copies(map[bool]float64{true: 0.2}[on], time.Second, seconds(2*w.cfg.Workers.LeaseS))
+		})
+	}},
 	"licence-down": {"t", func(d time.Duration, _ int, _ string) func(*World) {
 		return during(d, func(w *World, on bool) { w.Licences.Down(on) })
 	}},
@@ -42,6 +55,12 @@
 	"freeze-leader": {"t", func(d time.Duration, _ int, _ string) func(*World) {
 		return toLeader(0, func(w *World, i int) { w.FreezeController(i, d) })
 	}},
+	"cut-off-leader": {"t", func(d time.Duration, _ int, _ string) func(*World) {
+		return toLeader(0, func(w *World, i int) { severFor(w, i, FromState|FromPeers, d) })
+	}},
+	"unheard-leader": {"t", func(d time.Duration, _ int, _ string) func(*World) {
+		return toLeader(0, func(w *World, i int) { severFor(w, i, FromWorkers, d) })
+	}},
 	"kill-controllers": {"t", func(d time.Duration, _ int, _ string) func(*World) {
 		return func(w *World) {
 			for i := range w.cfg.Controllers {
@@ -73,9 +92,26 @@
 }
 
 // simulated are the faults that do something to controllers: a simulation's only.
-var simulated = map[string]bool{"kill-leader": true, "drain-leader": true, "freeze-leader": true, "kill-controllers": true,
+var simulated = map[string]bool{"cut-off-leader": true, "unheard-leader": true, "kill-leader": true, "drain-leader": true, "freeze-leader": true, "kill-controllers": true,
 	"cut-zone": true, "hold-zone": true, "refuse-zone": true, "deaf-zone": true, "mute-zone": true, "flap-zone": true, "power-zone": true, "roll": true, "roll-back": true}
 
+// lateBy is how many times longer than usual boots take under late-boots.
+const lateBy = 5
+
+func bootsFor(factor, never float64) func(d time.Duration, _ int, _ string) func(*World) {
+	return func(d time.Duration, _ int, _ string) func(*World) {
+		return func(w *World) {
+			w.Boots(factor, never)
+			w.ground.after(d, func() { w.Boots(0, 0) })
+		}
+	}
+}
+
+func severFor(w *World, i int, from Counterpart, d time.Duration) {
+	w.Sever(i, from)
+	w.ground.after(d, func() { w.Sever(i, 0) })
+}
+
 func drainNow(w *World, i int) { w.DrainController(i, func() {}) }
 
 // toLeader does something to the controller that leads, and starts it again after a time.
--- a/internal/world/troubles_test.go
+++ b/internal/world/troubles_test.go
@@ -25,6 +25,15 @@
 	return r, b
 }
 
+// asked lets users ask about the jobs of the crowd from now on, through the balancer.
+func (r *rolling) asked(b *Balancer) *Watchers {
+	a := b.Watchers()
+	for _, u := range r.users[:24] {
+		a.Follow(u.spec.ID, nil)
+	}
+	return a
+}
+
 // alive tells whether a machine is rented still.
 func (r *rolling) alive(name string) bool {
 	r.mu.Lock()
@@ -158,10 +167,7 @@
 				first, _ = r.World.Leader()
 				gone = []int{first}
 			}
-			a := b.Watchers()
-			for _, u := range r.users[:24] {
-				a.Follow(u.spec.ID, nil)
-			}
+			a := r.asked(b)
 			before := r.Now()
 			for _, i := range gone {
 				r.Sever(i, FromState|FromPeers)
@@ -404,10 +410,7 @@
 // whoever wakes does nothing on its old authority.
 func TestSilentForAMinute(t *testing.T) {
 	r, b := standing(t, 88, 5)
-	a := b.Watchers()
-	for _, u := range r.users[:24] {
-		a.Follow(u.spec.ID, nil)
-	}
+	a := r.asked(b)
 	r.load(2 * time.Minute)
 	from := r.Now()
 	for range 3 {
@@ -427,10 +430,7 @@
 // everybody is answered at once or told to come back, no lease runs out for it, submissions are taken and no job's questions starve.
 func TestFloodOfQuestions(t *testing.T) {
 	r, b := standing(t, 91, 3)
-	a := b.Watchers()
-	for _, u := range r.users[:24] {
-		a.Follow(u.spec.ID, nil)
-	}
+	a := r.asked(b)
 	r.Advance(20 * time.Second)
 	before, from := r.Stats(), r.Now()
 	statuses := map[int]int{}
