Fleet: what shows no effect isn't heard, nor is a lost machine before it hears

Now it stays lost, or returns once and falls back. A lost machine that speaks isn't given back for a report or two, so that it can show itself.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -348,7 +348,7 @@
 			}
 		case fleet.Lost:
 			// However many they are: after a while what is kept in vain costs more than what it would spare.
-			if steady && quiet > 2*limit && (silent <= max(1, up/4) || quiet > 2*limit+c.cutPatience(m) && silent < up) {
+			if steady && quiet > 2*limit && now-m.Spoke > limit && (silent <= max(1, up/4) || quiet > 2*limit+c.cutPatience(m) && silent < up) {
 				c.toReturn[m.Name] = "lost"
 			}
 		}
--- a/internal/fleet/hearing.go
+++ b/internal/fleet/hearing.go
@@ -41,21 +41,23 @@
 	return answerWait + retryWait + config.Seconds(1.25*f.Settings.Params.Workers.ReportS) + 500*time.Millisecond
 }
 
-// showed looks what a report of the present session at our token shows of the answer before it.
-func (f *Fleet) showed(now time.Duration, m *Machine, r *Report) {
+// showed looks what a report of the present session at our token shows of the answer before it; false: that its
+// machine doesn't hear.
+func (f *Fleet) showed(now time.Duration, m *Machine, r *Report) bool {
 	h := &m.hearing
 	if h.witness.Op == "" {
 		h.since = 0
-		return
+		return true
 	}
 	listed := slices.ContainsFunc(r.Tasks, func(e TaskReport) bool { return e.Task == h.witness.Task && e.Attempt == h.witness.Attempt })
 	if listed == (h.witness.Op == opStart) {
 		h.since, h.witness = 0, Command{}
-		return
+		return true
 	}
 	if now-h.since > f.hearWithin() {
 		f.deafen(now, m, "commands have no effect")
 	}
+	return m.Condition != Deaf
 }
 
 // told notes what goes out with an answer, as far as the next report must show it.
--- a/internal/fleet/hearing_test.go
+++ b/internal/fleet/hearing_test.go
@@ -337,3 +337,22 @@
 		}
 	}
 }
+
+// A machine that was lost and hears nothing reports in one session after the other, at a token of long ago: it doesn't count as
+// heard for that.
+func TestLostAndDeaf(t *testing.T) {
+	g := newRig(t, 2, map[string]json.RawMessage{})
+	g.hear("m", 1, fenced)
+	m := g.Find("m")
+	last := m.Heard
+	for session := uint64(1); session < 6; session++ {
+		g.now += 30 * time.Second
+		if g.Tick(g.now, true); m.Condition != Lost {
+			t.Fatal(m.Condition)
+		}
+		g.hear("m", session+1, fenced)
+	}
+	if m.Heard != last || m.Spoke != g.now {
+		t.Errorf("it counts as heard at %v", m.Heard)
+	}
+}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -64,7 +64,8 @@
 	Token        uint64
 	Session, Seq uint64
 	Created      time.Duration // first heard of
-	Heard        time.Duration // last accepted report
+	Heard        time.Duration // last accepted report, unless nothing shows that it hears
+	Spoke        time.Duration // last accepted report
 	Answered     time.Duration // last 200 that any owner may have sent
 	UpSince      time.Duration
 	NoticeAt     time.Duration // when the cloud takes it, if Noticed
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -108,11 +108,18 @@
 	if r.Token < m.Token || !f.loaded {
 		// Not fenced yet: a former owner's command may still arrive. Our token goes
 		// out with the answer, and the next report will carry it.
-		if m.Condition != Deaf {
+		// One that was lost has to show that it hears first: a zone of machines that don't once counted as back with
+		// each of their new sessions, and more were rented there.
+		if m.Spoke = now; m.Condition != Deaf && m.Condition != Lost {
 			f.heard(now, m)
 		}
 		return m, Accept
 	}
+	if direct {
+		m.hearing.since, m.hearing.witness = 0, Command{}
+	} else if !f.showed(now, m, r) {
+		return m, Accept
+	}
 	f.heard(now, m)
 	if m.fencing {
 		m.fencing = false
@@ -131,18 +138,13 @@
 		}
 		f.condition(m, Acting, "report at our token")
 	}
-	if direct {
-		m.hearing.since, m.hearing.witness = 0, Command{}
-	} else {
-		f.showed(now, m, r)
-	}
 	f.tasks(now, m, r, direct)
 	return m, Accept
 }
 
 // heard notes that a machine is there. One that doesn't hear is not: nothing can be done with it.
 func (f *Fleet) heard(now time.Duration, m *Machine) {
-	m.Heard, m.Aside = now, false
+	m.Heard, m.Spoke, m.Aside = now, now, false
 	f.LastReport = now
 }
 
