--- a/internal/world/troubles_test.go
+++ b/internal/world/troubles_test.go
@@ -516,6 +516,57 @@
 	t.Logf("within the guarantee %v at most, guests %v, tiny ones %v", slices.Max(r.Waits("owed")), slices.Max(append(r.Waits("sweep"), r.Waits("idle")...)), slices.Max(r.Waits("tiny")))
 }
 
+// Gangs that need half of all machines at once, under a constant stream of small urgent ones that takes most of them, while the
+// leader is killed and the next one stands still: they begin within four minutes of their submission, whoever leads. Without the rule
+// they don't.
+func TestTheLargestBeginWhoeverLeads(t *testing.T) {
+	began := func(operator string) (longest time.Duration, left int) {
+		types := []capacity.MachineType{{Name: "g4", CPUs: 16, GPUs: 4, Mem: 128, CacheGB: 100, FetchGB: 10, Price: 4, Spot: 1.5, BootS: 12, Zones: []string{"a", "b"}}}
+		w, err := Simulated(Config{Seed: 93, Machines: 16, Types: types, Step: 50 * time.Millisecond, Teams: []config.Team{{Name: "red"}, {Name: "blue"}}},
+			func(s *config.Settings) error { return s.ReadOperator("o.hcl", []byte(operator)) })
+		if err != nil {
+			t.Fatal(err)
+		}
+		rng := rand.New(rand.NewPCG(93, 1))
+		var large []*simUser
+		submit := func(n, tasks int, priority string, est float64) *simUser {
+			u := &simUser{w: w, rng: rng, spec: &jobs.Spec{ID: fmt.Sprintf("req-%06d", n), Class: priority, Team: "red", Kind: jobs.Gang, Priority: priority, Tasks: tasks, CPUs: 12, Mem: 1,
+				Image: "i", ImageGB: 1, EstimateS: est}}
+			u.submit()
+			return u
+		}
+		for i := range 300 { // 16 machines, of which these take some 13
+			w.After(time.Duration(i)*1500*time.Millisecond, func() { submit(i, 1, "urgent", 16+8*rng.Float64()) })
+		}
+		for i := range 3 {
+			w.After(time.Duration(60+70*i)*time.Second, func() { large = append(large, submit(900+i, 8, "standard", 10)) })
+		}
+		w.After(100*time.Second, func() { toLeader(3*time.Second, (*World).KillController)(w) })
+		w.After(170*time.Second, func() { toLeader(0, func(w *World, i int) { w.FreezeController(i, 70*time.Second) })(w) })
+		w.Advance(450 * time.Second)
+		for _, u := range large {
+			if d, ok := w.FirstStart(u.spec.ID); ok {
+				longest = max(longest, d)
+			} else {
+				left++
+			}
+		}
+		for _, b := range w.Broken() {
+			t.Error(b)
+		}
+		return longest, left
+	}
+	longest, left := began("")
+	t.Logf("the last begins after %v", longest)
+	if left > 0 || longest > 4*time.Minute {
+		t.Errorf("%d haven't begun, the last of the others after %v", left, longest)
+	}
+	if longest, left = began("begin_s = 1000000\n"); left == 0 && longest < 4*time.Minute {
+		t.Errorf("without the rule the last begins after %v: the test shows nothing", longest)
+	}
+	t.Logf("without the rule %d don't begin, the last of the others after %v", left, longest)
+}
+
 // wild plays all of it together at random over kills, freezes, drains, cuts and outages, then lets everything heal, and tells
 // the longest time in which no question about one job was answered, from then on.
 func wild(t *testing.T, seed uint64, d time.Duration) (*rolling, time.Duration, string) {
