Fleet: idle machines aren't kept from guests for a handful of tasks that wait for accelerators

Work that those tasks may stop is now kept from as many idle accelerators as twice what waits and a quarter of all, on machines that they may use. Test: TestFewWaitForAccelerators.

--- a/internal/fleet/floor_test.go
+++ b/internal/fleet/floor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -170,6 +171,39 @@
 	}
 }
 
+// One task that waits for an accelerator, of which most are idle, doesn't keep the cores of all machines from work without: of twenty
+// idle machines some are left for it and what comes next, the others are used.
+func TestFewWaitForAccelerators(t *testing.T) {
+	g := mixed(t)
+	names := make([]string, 20)
+	for i := range names {
+		names[i] = fmt.Sprintf("g%02d", i)
+		g.see(names[i], "gpu", false)
+	}
+	s, elsewhere := spec(1, 1), "y"
+	s.GPUs, s.CPUs, s.Zone = 2, 12, &elsewhere // where no machine is
+	g.submit(s)
+	guest := spec(2, 200)
+	guest.Priority, guest.Class, guest.CPUs = "best_effort", "idle", 4
+	j := g.submit(guest)
+	on := map[string][]TaskReport{}
+	for range 6 {
+		g.settleFor(3, store.Committed)
+		for _, n := range names {
+			g.runAll(n, "gpu", on)
+		}
+	}
+	used := 0
+	for _, n := range names {
+		if len(on[n]) > 0 {
+			used++
+		}
+	}
+	if used < 10 || used > 17 || j.On() < 30 {
+		t.Errorf("%d of 20 machines are used, by %d tasks", used, j.On())
+	}
+}
+
 func gang4() *jobs.Spec {
 	s := spec(1, 4)
 	s.Kind, s.CPUs, s.EstimateS, s.Class = jobs.Gang, 4, 20, "big"
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -104,6 +104,7 @@
 	pushed   time.Duration
 
 	// claim is what a waiting gang of rank claimRank is to get here.
+	spared    bool // cores beside its accelerators are left for work that waits for those
 	claim     planner.Size
 	claimRank int
 
--- a/internal/fleet/pass.go
+++ b/internal/fleet/pass.go
@@ -43,6 +43,7 @@
 // share finds what waiting work takes of a machine for each accelerator.
 func (f *Fleet) share() {
 	f.perGPU, f.gpuWithin, f.gpuLevel = planner.Size{}, false, math.MinInt
+	var wait waitingGPUs
 	clear(f.ordinary)
 	for _, j := range f.order {
 		if j.Idle() {
@@ -57,6 +58,11 @@
 		}
 		// What its team's limit keeps waiting needs no room, nor what fails wherever it runs.
 		if s := j.Spec.Size(); s.GPUs > 0 && j.Left() > 0 && f.mistaken(j) == nil && f.mayStart(j, 1) {
+			if n := s.GPUs * float64(j.Left()); j.Spec.Spot {
+				wait.any += n
+			} else {
+				wait.ordinary += n
+			}
 			f.perGPU.CPUs = max(f.perGPU.CPUs, s.CPUs/s.GPUs)
 			f.perGPU.Mem = max(f.perGPU.Mem, s.Mem/s.GPUs)
 			switch w := f.within[j.Index]; {
@@ -67,6 +73,34 @@
 			}
 		}
 	}
+	f.spareFor(wait)
+}
+
+// spareGPUs is the part of all accelerators beside which cores are left for work that is still to come.
+const spareGPUs = 0.25
+
+// waitingGPUs are the accelerators that waiting work needs, by where it may run.
+type waitingGPUs struct{ any, ordinary float64 }
+
+// spareFor marks the machines on which cores are left beside accelerators: as many idle accelerators as twice what waits for
+// them, and a quarter of all for what comes next, on the machines that such work may use. They were once left on every
+// machine as long as a single task waited: three thousand tasks without accelerators stood beside three hundred idle machines.
+func (f *Fleet) spareFor(w waitingGPUs) {
+	all, left := map[bool]float64{}, map[bool]float64{}
+	for _, m := range f.machines {
+		if m.Condition == Acting && !m.Retiring {
+			all[m.Spot] += m.Size.GPUs
+		}
+	}
+	left[true] = 2*w.any + spareGPUs*all[true]
+	left[false] = 2*(w.any+w.ordinary) + spareGPUs*all[false]
+	for _, m := range f.machines {
+		m.spared = left[m.Spot] > 0
+		if m.Condition == Acting && !m.Retiring {
+			left[m.Spot] -= m.Size.GPUs - m.Use.GPUs
+		}
+	}
+	f.Steps += uint64(2 * len(f.machines))
 }
 
 // schedule plans what is unplanned, in rank order, and lets free lanes steal.
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -22,6 +22,10 @@
 	if m.Size.GPUs == 0 || f.perGPU == (planner.Size{}) || j != nil && (j.Spec.GPUs > 0 || f.first[j.Index] || f.goesBefore(j)) {
 		return planner.Size{}
 	}
+	// What such work may stop anyway need only be kept from as much as waits and may come.
+	if !m.spared && j != nil && j.Level < f.gpuLevel && !f.within[j.Index] {
+		return planner.Size{}
+	}
 	return f.perGPU.Times(idle)
 }
 
