Tidy: one word for machines that should report, one note of retries, cores counted only where kept

Found on re-reading the whole change: the same three conditions were listed in the capacity manager and in the controller, the choice between failing and retry stood twice, and the machines beside whose accelerators cores are left were marked in every pass, also where no work waits for any and the marks are never read. Behaviour as it was; tests of fleet, capacity, controller and peers.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -314,7 +314,7 @@
 	up, silent, idle := 0, 0, 0
 	limit := config.Seconds(c.Settings.Operator.SilentS)
 	for _, m := range c.Fleet.Machines() {
-		if m.Condition == fleet.Acting || m.Condition == fleet.Known || m.Condition == fleet.Deaf {
+		if m.Condition.There() {
 			up++
 			if len(m.On) == 0 && m.Planned == 0 {
 				idle++
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -422,7 +422,7 @@
 	}
 	peers := false
 	for _, h := range c.status {
-		if now-h.at < 3*time.Second {
+		if now-h.at < heardFor {
 			if h.StateOK {
 				return false
 			}
@@ -606,7 +606,7 @@
 	}
 	there, heard := 0, c.othersHear(now)
 	for _, m := range c.fleet.Machines() {
-		if m.Condition == fleet.Acting || m.Condition == fleet.Known || m.Condition == fleet.Deaf {
+		if m.Condition.There() {
 			there++
 		}
 	}
--- a/internal/fleet/array.go
+++ b/internal/fleet/array.go
@@ -112,11 +112,7 @@
 		}
 	}
 	if len(tasks) == 0 {
-		if f.mistaken(j) != nil {
-			f.failingNote(j)
-			return
-		}
-		f.note(j, verdict{cause: Retry, until: retry})
+		f.retryNote(j, retry)
 		return
 	}
 	p := &planner.Problem{Local: f.estimate(j)}
--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -171,9 +171,7 @@
 	}
 	for t := range j.Tasks {
 		if k := &j.Tasks[t]; k.Until > now {
-			if f.note(j, verdict{cause: Retry, until: k.Until}); f.mistaken(j) != nil {
-				f.failingNote(j)
-			}
+			f.retryNote(j, k.Until)
 			return
 		}
 	}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -33,6 +33,9 @@
 	return [...]string{"known", "acting", "noticed", "lost", "gone", "deaf"}[c]
 }
 
+// There tells whether a machine in this condition is expected to report, and to go on doing so.
+func (c Condition) There() bool { return c == Known || c == Acting || c == Deaf }
+
 // Ref names a task by dense indices.
 type Ref struct {
 	Job  jobs.Index
--- a/internal/fleet/mistake.go
+++ b/internal/fleet/mistake.go
@@ -78,6 +78,15 @@
 	f.note(j, verdict{cause: Failing, have: r.machines, need: r.tries, until: r.until})
 }
 
+// retryNote says that a job's tasks failed and when they are tried again.
+func (f *Fleet) retryNote(j *jobs.Job, until time.Duration) {
+	if f.mistaken(j) != nil {
+		f.failingNote(j)
+		return
+	}
+	f.note(j, verdict{cause: Retry, until: until})
+}
+
 // provenS is how long a replica of a service must have run to say that its job is in order: it is never done.
 const provenS = 30
 
--- a/internal/fleet/pass.go
+++ b/internal/fleet/pass.go
@@ -73,7 +73,9 @@
 			}
 		}
 	}
-	f.spareFor(wait)
+	if f.perGPU != (planner.Size{}) {
+		f.spareFor(wait)
+	}
 }
 
 // spareGPUs is the part of all accelerators beside which cores are left for work that is still to come.
