--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -270,7 +270,7 @@
 	if err := newValidator().Struct(&s.Operator); err != nil {
 		return fmt.Errorf("%s: %w", path, explain(err))
 	}
-	for _, f := range []func() error{s.derivePools, s.deriveSessions, s.Operator.readToken, s.openAccess} {
+	for _, f := range []func() error{s.checkTiming, s.derivePools, s.deriveSessions, s.Operator.readToken, s.openAccess} {
 		if err := f(); err != nil {
 			return fmt.Errorf("%s: %w", path, err)
 		}
@@ -308,6 +308,9 @@
 	if err := newValidator().Struct(s); err != nil {
 		return nil, explain(err)
 	}
+	if err := s.checkTiming(); err != nil {
+		return nil, err
+	}
 	seen := map[string]bool{}
 	for _, t := range s.Params.Teams {
 		if seen[t.Name] {
@@ -323,9 +326,7 @@
 	o := &s.Operator
 	w := s.Params.Workers
 	if o.HoldTTLMS == 0 {
-		// A third of the worker lease leaves room for a takeover and a fenced
-		// report before any lease ends.
-		o.HoldTTLMS = max(2000, min(6000, int(w.LeaseS*1000/3)))
+		o.HoldTTLMS = int(s.deriveHold().Milliseconds())
 	}
 	if o.BeginS == 0 {
 		o.BeginS = 240
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -159,7 +159,7 @@
 	c.cloud = capacity.NewCloud(s.Services.Cloud, c.send, c.loop.Now, s.Params.Cloud.RPS*0.9)
 	c.mir = store.NewMirror(c.store, hot)
 	c.roll = c.newRollout()
-	c.mem = membership.New(membership.Config{Rollout: member{c.roll, c}, Node: s.Node, Public: s.Public, Secure: s.Secure(), TTL: s.HoldTTL(), Rng: c.rng,
+	c.mem = membership.New(membership.Config{Rollout: member{c.roll, c}, Node: s.Node, Public: s.Public, Secure: s.Secure(), TTL: s.HoldTTL(), Picture: s.PictureFor(), Rng: c.rng,
 		OnLead: c.lead, OnLose: c.lose}, c.store, c.mir.Fresh)
 	c.mir.OnItem = func(it store.Item) { c.item(c.loop.Now(), it) }
 	c.mir.OnDrop = func(k string, v uint64) {
@@ -537,7 +537,7 @@
 	body, _ := json.Marshal(o)
 	f := c.fleet
 	// One connection each: a large fleet's idle ones would use up the sockets.
-	c.wire.Send(m.Addr, httpio.Request{Method: "POST", Path: "/orders", Body: body, Timeout: 2 * time.Second, Once: true}, func(r httpio.Response) {
+	c.wire.Send(m.Addr, httpio.Request{Method: "POST", Path: "/orders", Body: body, Timeout: config.OrderWait, Once: true}, func(r httpio.Response) {
 		if c.fleet != f {
 			return
 		}
@@ -569,6 +569,11 @@
 	if c.fleet == nil {
 		return
 	}
+	auth := c.mem.Authority(now)
+	if !auth && c.blind(now) {
+		c.mem.Resign(now, "the followed keys are too old")
+		return
+	}
 	if !c.fleet.Loaded() {
 		c.load(now)
 		return
@@ -577,7 +582,6 @@
 		c.summary = now + 30*time.Second
 		c.fleet.Summary(now)
 	}
-	auth := c.mem.Authority(now)
 	if auth && !c.had {
 		c.steady = now
 	}
@@ -619,6 +623,12 @@
 	}
 }
 
+// blind tells that the followed keys have been too old to act on for a while, though the service answers and the hold
+// is renewed: a leader whose watches are lost would keep everybody else from leading, and act for nobody.
+func (c *Controller) blind(now time.Duration) bool {
+	return now-c.mir.Fresh() > c.s.PictureFor()+c.s.HoldTTL() && now-c.store.LastOK() < time.Second
+}
+
 // soonest is how long nobody must have been heard before a leader hands on because many workers ask others: for
 // each of them a report was due and the next one nearly.
 func soonest(reportS float64) time.Duration { return config.Seconds(1.25*reportS + 2) }
@@ -713,6 +723,7 @@
 		c.setTypes(string(raw), types)
 		if c.fleet != nil && (!same || c.typesVer == 0) {
 			t := store.Txn{If: []store.Cond{c.mem.Guard()}, Then: []store.Op{{Put: typesKey, Value: raw}}}
+			t.If = append(t.If, store.Cond{Key: typesKey, Version: c.typesVer}) // older prices that land late change nothing
 			c.store.Txn(t, store.Ordinary, func(store.Result) {})
 		}
 	})
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -30,7 +30,7 @@
 	f.reports++
 	m, v := f.take(now, r, asReport)
 	if v == Stale && f.dares(now, m, r) {
-		return Answer{Token: m.Token, Commands: []Command{}}, Accept
+		return Answer{Token: m.Token, Commands: f.cancelled(r)}, Accept
 	}
 	if v != Accept {
 		return Answer{}, v
@@ -39,16 +39,34 @@
 	defer func() { m.told(now, r, a) }()
 	a = Answer{Token: m.Token, Commands: []Command{}}
 	if r.Token < m.Token || !f.loaded {
-		return a, Accept // the token has to be seen first
+		a.Commands = f.cancelled(r) // for all else the token has to be seen first
+		return a, Accept
 	}
 	m.fence()
 	a.Token = m.Token
 	if m.Condition == Acting || m.Condition == Noticed {
 		a.Commands = f.commands(now, m, r)
+	} else {
+		a.Commands = f.cancelled(r)
 	}
 	return a, Accept
 }
 
+// cancelled stops what a report lists of cancelled jobs. Every answer extends what its machine lives on, whether it is
+// ever heard again or not: none may go out without these, not even the first one of a new owner, whose token the machine
+// hasn't seen. A machine that was last heard from at the very end of a cut, and then by nobody, ran cancelled work
+// for a lease longer than cancel_s allows. A cancellation is final, so the stop is never wrong.
+func (f *Fleet) cancelled(r *Report) []Command {
+	out := []Command{}
+	for i := range r.Tasks {
+		e := &r.Tasks[i]
+		if j, _ := f.resolve(e.Task); j != nil && e.State != exited && j.Stance == jobs.Cancelled {
+			out = append(out, Command{Op: opStop, Task: e.Task, Attempt: e.Attempt, GraceS: new(float64)})
+		}
+	}
+	return out
+}
+
 // origin is how a report came.
 type origin uint8
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -90,7 +90,9 @@
 type Config struct {
 	Node, Public, Secure string
 	TTL                  time.Duration
-	Rng                  *rand.Rand
+	// Picture is how old the followed keys may be while this controller acts: cancellations since are not known.
+	Picture time.Duration
+	Rng     *rand.Rand
 	// OnLead and OnLose tell the start and the end of a term of our own.
 	OnLead func(now time.Duration, term uint64)
 	OnLose func(now time.Duration)
@@ -139,6 +141,10 @@
 	termVersion   uint64
 	parts         PartMap
 	mapVersion    uint64
+
+	// self is the hold that this controller's member key names, as last known; 0: there is none.
+	self        uint64
+	selfVersion uint64
 }
 
 // New makes a membership; fresh tells when the mirrored keys were last surely complete.
@@ -176,9 +182,10 @@
 
 // Authority tells whether this controller may answer reports and send commands. It ends a
 // margin before the hold can, counted from when the last good renewal was sent, and also
-// when the followed keys are too old to be trusted to show cancellations.
+// when the followed keys are too old: a renewal that succeeds, or a hold that outlives an
+// outage, doesn't make an old picture of the jobs new.
 func (m *Membership) Authority(now time.Duration) bool {
-	return m.state == Leading && now < m.until && now-m.freshness() < 3*m.cfg.TTL
+	return m.state == Leading && now < m.until && now-m.freshness() < m.cfg.Picture
 }
 
 // Owns tells whether a machine lies in our part.
@@ -248,6 +255,9 @@
 	if !seen[leaderKey] && m.leaderVersion != 0 {
 		m.Drop(now, leaderKey, ^uint64(0))
 	}
+	if !seen[memberKey+m.cfg.Node] {
+		m.self, m.selfVersion = 0, 0
+	}
 }
 
 // Synced tells that the keys have been read.
@@ -294,10 +304,22 @@
 			}
 			m.mapVersion = it.Version
 		}
+	case memberKey + m.cfg.Node:
+		m.ours(it)
 	}
 	return nil
 }
 
+// ours takes over this controller's own member key. Whatever can't be read there names none of its holds.
+func (m *Membership) ours(it store.Item) {
+	if it.Version <= m.selfVersion {
+		return
+	}
+	var v memberValue
+	_ = json.Unmarshal(it.Value, &v)
+	m.self, m.selfVersion = v.Hold, it.Version
+}
+
 // judge looks at a new leader key.
 func (m *Membership) judge(now time.Duration, same bool) {
 	if same {
@@ -328,6 +350,9 @@
 
 // Drop takes over the end of a key.
 func (m *Membership) Drop(now time.Duration, key string, version uint64) {
+	if key == memberKey+m.cfg.Node && version > m.selfVersion {
+		m.self, m.selfVersion = 0, 0
+	}
 	if key != leaderKey || version <= m.leaderVersion {
 		return
 	}
@@ -387,24 +412,7 @@
 			m.to(m.store.Now(), Registering)
 		})
 	case Registering:
-		m.busy = true
-		hold := m.hold
-		v, _ := json.Marshal(memberValue{m.cfg.Node, hold})
-		m.store.Txn(store.Txn{Then: []store.Op{{Put: memberKey + m.cfg.Node, Value: v, Hold: m.hold}, m.cfg.Rollout.Announce(hold)}}, store.Safety,
-			func(r store.Result) {
-				if m.hold != hold {
-					return // the hold was lost meanwhile, another attempt is under way
-				}
-				switch r.Outcome {
-				case store.Committed:
-					m.busy = false
-					m.to(m.store.Now(), Member)
-				case store.NoHold:
-					m.lose(m.store.Now())
-				default:
-					retry()
-				}
-			})
+		m.register(now, retry)
 	case Member:
 		if m.leader.Node == m.cfg.Node && m.leader.Hold != m.hold {
 			// A campaign of this controller's former process has landed after its end was cleared away: its hold
@@ -413,12 +421,64 @@
 			m.store.EndHold(m.leader.Hold, func(bool) { retry() })
 			return
 		}
+		if m.self != m.hold {
+			m.register(now, retry)
+			return
+		}
 		if m.leader.Node == "" && now >= m.campaign && now >= m.quiet && now < m.until && m.cfg.Rollout.Fit() {
 			m.run(now, retry)
 		}
 	}
 }
 
+// register writes the member key and the announcement, as long as nobody else has written the key meanwhile: a former
+// life's registration that lands late would otherwise take the key along when its hold ends, and this controller would
+// count as not there for as long as it lives.
+func (m *Membership) register(now time.Duration, retry func()) {
+	m.busy = true
+	hold, key := m.hold, memberKey+m.cfg.Node
+	v, _ := json.Marshal(memberValue{m.cfg.Node, hold})
+	t := store.Txn{If: []store.Cond{{Key: key, Version: m.selfVersion}}, Then: []store.Op{{Put: key, Value: v, Hold: hold}, m.cfg.Rollout.Announce(hold)}}
+	m.store.Txn(t, store.Safety, func(r store.Result) {
+		if m.hold != hold {
+			return // the hold was lost meanwhile, another attempt is under way
+		}
+		switch r.Outcome {
+		case store.Committed:
+			m.busy = false
+			m.ours(store.Item{Value: v, Version: r.Revision})
+			m.registered(m.store.Now())
+		case store.NoHold:
+			m.lose(m.store.Now())
+		case store.Conflict, store.Unknown:
+			// Somebody wrote it, perhaps this very process with a request that was given up.
+			m.store.Get(key, store.Safety, func(it store.Item, err error) {
+				if m.hold != hold {
+					return
+				}
+				if retry(); err != nil {
+					return
+				}
+				m.retryAt = m.store.Now()
+				if it.Version == 0 {
+					m.self, m.selfVersion = 0, 0
+				} else if m.ours(it); m.self == hold {
+					m.registered(m.store.Now())
+				}
+			})
+		default:
+			retry()
+		}
+	})
+}
+
+// registered goes on once the member key names our hold.
+func (m *Membership) registered(now time.Duration) {
+	if m.state == Registering {
+		m.to(now, Member)
+	}
+}
+
 // run campaigns: one transaction takes the lead, the next term and the part map.
 func (m *Membership) run(now time.Duration, retry func()) {
 	m.busy = true
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -88,7 +88,7 @@
 	st := store.New("", n, now, store.Share{RPS: 1e6, WriteRPS: 1e6, BurstS: 0.8}, 24)
 	n.seen = c.svc.Now
 	n.known = map[string]uint64{}
-	n.mem = New(Config{Node: n.name, TTL: 3 * time.Second, Rng: c.rng, Rollout: oneRelease{n.name},
+	n.mem = New(Config{Node: n.name, TTL: 3 * time.Second, Picture: 9 * time.Second, Rng: c.rng, Rollout: oneRelease{n.name},
 		OnLead: func(_ time.Duration, term uint64) {
 			if who, ok := c.terms[term]; ok {
 				c.t.Fatalf("term %d led by %s and %s", term, who, n.name)
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -25,6 +25,8 @@
 	next   time.Duration // no request before
 	fresh  time.Duration
 	synced bool
+	asked  time.Duration // the watch that is open was sent
+	turn   uint64        // of watches: the answer to an earlier one is nobody's any more
 
 	// OnItem, OnDrop and OnReset carry changes; OnReset comes before the items of a new
 	// reading, and OnSynced after them.
@@ -36,6 +38,10 @@
 
 const followWait = 1500 * time.Millisecond
 
+// overdue is how much later than it should have come the answer to a watch may be while the service answers other
+// requests: then the watch is lost, and waiting for its end would leave the copy old for long.
+const overdue = 1500 * time.Millisecond
+
 // NewMirror makes a mirror; it starts with the first Tick.
 func NewMirror(c *Client, prefix string) *Mirror { return &Mirror{client: c, prefix: prefix} }
 
@@ -50,6 +56,10 @@
 
 // Tick sends what is due.
 func (m *Mirror) Tick(now time.Duration) {
+	if late := m.asked + followWait + overdue; m.busy && m.state == Following && now > late && m.client.LastOK() > late-overdue/2 {
+		slog.Info("a watch is lost, asking anew", "prefix", m.prefix)
+		m.busy = false
+	}
 	if m.busy || now < m.next {
 		return
 	}
@@ -59,9 +69,15 @@
 		m.busy = true
 		m.client.List(m.prefix, func(items []Item, rev uint64, err error) { m.listed(now, items, rev, err) })
 	case Following:
-		m.busy = true
+		m.busy, m.asked = true, now
+		m.turn++
+		turn := m.turn
 		m.client.Follow(m.prefix, m.rev, followWait, func(rev uint64, ev []Event, gone bool, err error) {
-			m.followed(now, rev, ev, gone, err)
+			if m.turn == turn {
+				m.followed(now, rev, ev, gone, err)
+			} else if m.state == Following && err == nil && !gone {
+				m.take(now, rev, ev) // what it brings is as true as ever
+			}
 		})
 	}
 }
@@ -102,17 +118,22 @@
 		m.next = now + 250*time.Millisecond
 		return
 	default:
-		m.fresh = sent
-		for _, e := range ev {
-			if e.Put != "" {
-				m.OnItem(Item{Key: e.Put, Value: e.Value, Version: e.Version})
-			} else if e.Delete != "" {
-				m.OnDrop(e.Delete, e.Version)
-			}
-		}
-		m.rev = max(m.rev, rev)
+		m.take(sent, rev, ev)
 		// A short pause gathers bursts of changes into one answer.
 		m.next = now + 15*time.Millisecond
 	}
 	m.Tick(now)
 }
+
+// take hands changes on. Those that were brought before are told again: whoever takes them goes by their versions.
+func (m *Mirror) take(sent time.Duration, rev uint64, ev []Event) {
+	m.fresh = max(m.fresh, sent)
+	for _, e := range ev {
+		if e.Put != "" {
+			m.OnItem(Item{Key: e.Put, Value: e.Value, Version: e.Version})
+		} else if e.Delete != "" {
+			m.OnDrop(e.Delete, e.Version)
+		}
+	}
+	m.rev = max(m.rev, rev)
+}
--- a/internal/world/faults.go
+++ b/internal/world/faults.go
@@ -18,10 +18,8 @@
 
 // Cancelled notes that a user was told that a job is cancelled.
 func (w *World) Cancelled(id string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if _, ok := w.told[id]; !ok {
-		w.told[id] = w.now()
+	for _, f := range w.tell(id) {
+		f()
 	}
 }
 
--- a/internal/world/machine.go
+++ b/internal/world/machine.go
@@ -140,19 +140,20 @@
 		if now-m.base > seconds(w.cfg.Workers.LeaseS) {
 			w.drop(now, m)
 		}
+		for _, k := range m.tasks {
+			w.stays(now, m, k)
+		}
 		return
 	}
 	w.expire(now, m)
 	for _, k := range m.tasks {
+		w.stays(now, m, k)
 		w.move(now, m, k)
 	}
 }
 
 // move lets one task go on.
 func (w *World) move(now time.Duration, m *Machine, k *task) {
-	if at, ok := w.told[k.spec.ID]; ok && k.counted && k.state != exited && now > at+seconds(w.cfg.Workers.CancelS) {
-		w.fail("ran_cancelled: %s on %s", k.name, m.Name)
-	}
 	switch k.state {
 	case pulling:
 		if now < k.ready {
@@ -211,7 +212,11 @@
 	if n := w.notebooks[k.spec.ID]; n != nil {
 		n.begins(now, k)
 	}
-	k.work = max(0.01, (k.spec.EstimateS-w.stat(k).saved)*(0.8+0.4*w.rng.Float64())/w.cfg.Speed)
+	factor := 0.8 + 0.4*w.rng.Float64()
+	if w.cfg.Uneven {
+		factor = 0.25 + 1.75*w.rng.Float64()
+	}
+	k.work = max(0.01, (k.spec.EstimateS-w.stat(k).saved)*factor/w.cfg.Speed)
 }
 
 // exit ends a task by itself: what it held it gives back, unless it fails.
@@ -295,6 +300,13 @@
 // orders is a worker's direct entry. A machine that hangs takes what waits once it resumes,
 // and commands that are held back on the way are carried out long after their sender gave up.
 func (w *World) orders(m *Machine, q request, reply answer) {
+	back := w.late(&w.delays.orders)
+	w.later(w.late(&w.delays.orders), func() {
+		w.ordersNow(m, q, func(status int, body any) { w.later(back, func() { reply(status, body) }) })
+	})
+}
+
+func (w *World) ordersNow(m *Machine, q request, reply answer) {
 	w.mu.Lock()
 	now := w.now()
 	wait := max(m.hungTill-now, m.late)
@@ -314,7 +326,7 @@
 			m.late = 0
 		}
 		w.mu.Unlock()
-		w.ground.after(wait, func() { w.orders(m, q, reply) })
+		w.ground.after(wait, func() { w.ordersNow(m, q, reply) })
 		return
 	}
 	status, body := w.ordered(now, m, q)
@@ -465,7 +477,11 @@
 			unheard()
 			return
 		}
-		heard(status, answer)
+		if d := w.late(&w.delays.answers); w.now()+d-now <= reportWait {
+			w.later(d, func() { heard(status, answer) })
+			return
+		}
+		unheard()
 	})
 }
 
--- a/internal/world/releases.go
+++ b/internal/world/releases.go
@@ -88,10 +88,13 @@
 // fated does to a transaction what whoever watches says; false: it goes its ordinary way.
 func (w *World) fated(controller int, q request) bool {
 	var t store.Txn
-	if w.fate == nil || q.path != "/txn" || json.Unmarshal(q.body, &t) != nil {
+	if q.path != "/txn" || json.Unmarshal(q.body, &t) != nil {
 		return false
 	}
-	f := w.fate(controller, t)
+	f := w.lateWrite(t)
+	if f == (Fate{}) && w.fate != nil {
+		f = w.fate(controller, t)
+	}
 	carry := func() {
 		w.mu.Lock()
 		_, _ = w.stateNow(controller, q)
--- a/internal/world/script.go
+++ b/internal/world/script.go
@@ -47,6 +47,19 @@
 			w.Copies(map[bool]float64{true: 0.2}[on], time.Second, seconds(2*w.cfg.Workers.LeaseS))
 		})
 	}},
+	"late-writes": {"t", func(d time.Duration, _ int, _ string) func(*World) {
+		return during(d, func(w *World, on bool) {
+			w.LateWrites(map[bool]float64{true: 0.2}[on], w.lateness(1./12), w.lateness(1./2))
+		})
+	}},
+	"slow-state":    {"t", heldFor((*World).SlowState, 1./200, 1./5)},
+	"hold-orders":   {"t", heldFor((*World).HoldOrders, 1./50, 2./3)},
+	"hold-answers":  {"t", heldFor((*World).HoldAnswers, 1./50, 2./3)},
+	"refuse-leader": {"t", func(d time.Duration, _ int, _ string) func(*World) { return func(w *World) { w.RefuseLeader(d) } }},
+	"stick-leader":  {"t", func(d time.Duration, _ int, _ string) func(*World) { return func(w *World) { w.stickLeader(d) } }},
+	"outage-at-cancel": {"t", func(d time.Duration, _ int, _ string) func(*World) {
+		return func(w *World) { w.OnCancelled(func() { during(d, (*World).Outage)(w) }) }
+	}},
 	"licence-down": {"t", func(d time.Duration, _ int, _ string) func(*World) {
 		return during(d, func(w *World, on bool) { w.Licences.Down(on) })
 	}},
@@ -98,6 +111,19 @@
 // lateBy is how many times longer than usual boots take under late-boots.
 const lateBy = 5
 
+// heldFor is a script's fault: messages of a kind are held up by a part of a lease for a time.
+func heldFor(set func(w *World, least, most time.Duration), least, most float64) func(d time.Duration, _ int, _ string) func(*World) {
+	return func(d time.Duration, _ int, _ string) func(*World) {
+		return during(d, func(w *World, on bool) {
+			if !on {
+				set(w, 0, 0)
+				return
+			}
+			set(w, w.lateness(least), w.lateness(most))
+		})
+	}
+}
+
 func bootsFor(factor, never float64) func(d time.Duration, _ int, _ string) func(*World) {
 	return func(d time.Duration, _ int, _ string) func(*World) {
 		return func(w *World) {
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -73,6 +73,10 @@
 
 // state answers one controller's request to the state service.
 func (w *World) state(controller int, q request, reply answer) {
+	w.slowly(func(reply answer) { w.stateAt(controller, q, reply) }, reply)
+}
+
+func (w *World) stateAt(controller int, q request, reply answer) {
 	if q.path == "/follow" {
 		w.follow(controller, q, reply)
 		return
@@ -140,7 +144,7 @@
 	look = func() {
 		w.mu.Lock()
 		now := w.now()
-		if w.down || w.cut[controller] {
+		if w.down || w.cut[controller] || w.stuck[controller] {
 			w.mu.Unlock()
 			w.ground.after(50*time.Millisecond, look)
 			return
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -40,6 +40,8 @@
 	Pools map[string]int
 	// Speed is how many times faster tasks run than their owners estimate.
 	Speed float64
+	// Uneven lets the tasks of a job run between a quarter and twice as long as estimated.
+	Uneven bool
 	// Step is how often time passes for machines and holds.
 	Step time.Duration
 	// Stored is what the state service holds from the start, by key.
@@ -96,6 +98,7 @@
 	down    bool
 	fate    func(controller int, t store.Txn) Fate
 	cut     []bool // by controller: the state service refuses it
+	stuck   []bool // by controller: its watches aren't answered, everything else is
 
 	machines []*Machine
 	byName   map[string]*Machine
@@ -105,6 +108,8 @@
 	boots    bootTrouble
 	mistaken map[string]bool // jobs that fail wherever they run
 	copied   copying
+	delays   delays
+	onTold   []func()
 
 	specs map[string]*jobs.Spec
 	told  map[string]time.Duration // cancelled
@@ -132,6 +137,10 @@
 	OneWay, Copies, Reborn, Severed int
 	// Vain counts the launches sent to machines that were deaf.
 	Vain int
+	// LateWrites counts the transactions that got no answer and were carried out late.
+	LateWrites int
+	// LongestCancelled is how long a task stayed on a machine at most after its user was told that it is cancelled.
+	LongestCancelled time.Duration
 }
 
 // progress is what is kept of a task outside its machine.
@@ -146,10 +155,11 @@
 func start(cfg Config, on ground) (*World, error) {
 	cfg.defaults()
 	w := &World{cfg: cfg, ground: on, stop: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, 7)),
-		svc: state.New(), cut: make([]bool, cfg.Controllers),
+		svc: state.New(), cut: make([]bool, cfg.Controllers), stuck: make([]bool, cfg.Controllers),
 		byName: map[string]*Machine{}, claims: map[string][]string{}, specs: map[string]*jobs.Spec{},
 		mistaken: map[string]bool{}, told: map[string]time.Duration{}, tasks: map[string]*progress{}, notebooks: map[string]*Notebook{},
 		known: map[string]time.Duration{}, waits: map[string]time.Duration{}}
+	w.delays.rng = rand.New(rand.NewPCG(cfg.Seed, 17))
 	w.reqs, w.writes = bucket{rate: cfg.State.RPS}, bucket{rate: cfg.State.WriteRPS}
 	for k, raw := range cfg.Stored {
 		w.svc.Apply([]store.Op{{Put: k, Value: raw}})
