--- a/internal/fleet/hearing.go
+++ b/internal/fleet/hearing.go
@@ -88,12 +88,15 @@
 }
 
 // past tells whether a report may be a copy of what the machine said long ago: older than one seen already, of a session
-// whose lease has surely run out, or at a token behind which no worker goes back. Nothing may follow from it.
+// whose lease has surely run out, or at a token behind which no worker goes back, in a later session neither. Nothing may
+// follow from it: a copy from a former life's higher session once gave up launches of the present one.
 func (m *Machine) past(r *Report) bool {
 	switch {
+	case r.Token < m.hearing.seen:
+		return true // of a former life, whatever its session: that may have been a higher one
 	case r.Session != m.Session:
 		return r.Session < m.Session
-	case r.Seq <= m.Seq, r.Token < m.hearing.seen:
+	case r.Seq <= m.Seq:
 		return true
 	}
 	return r.Session <= m.hearing.over
