Membership: the condition of the registration is enough; no second way to repair it

With the condition alone TestFormerRegistrationLandsLate passes, and fails on the code before. Nothing else changes; tests of membership and the world's meetings pass.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -421,10 +421,6 @@
 			m.store.EndHold(m.leader.Hold, func(bool) { retry() })
 			return
 		}
-		if m.self != m.hold {
-			m.register(now, retry)
-			return
-		}
 		if m.leader.Node == "" && now >= m.campaign && now >= m.quiet && now < m.until && m.cfg.Rollout.Fit() {
 			m.run(now, retry)
 		}
