Tests: every write has its condition; open writes hold starts; attempts never repeat across terms

Cause: with the guard taken out, no test noticed that leaders' writes depend on the leader key, that open writes hold starts back, or that attempts carry the term. Change: a test in the world holds every transaction that controllers send against the table in docs/design.md, a write without a row fails; two small ones for the others.

--- a/internal/fleet/guards_test.go
+++ b/internal/fleet/guards_test.go
@@ -428,3 +428,19 @@
 		t.Fatal("nothing may preempt anything")
 	}
 }
+
+// No attempt of one term is ever one of another's, however many either makes: a task that is launched anew must not be taken for
+// an earlier start, and tasks of a gang find each other by the number.
+func TestAttemptsNeverRepeatAcrossTerms(t *testing.T) {
+	seen := map[uint64]uint64{}
+	for term := uint64(1); term < 5; term++ {
+		f := &Fleet{Term: term}
+		for range 1000 {
+			a := f.nextAttempt()
+			if was, ok := seen[a]; ok {
+				t.Fatalf("attempt %d is of terms %d and %d", a, was, term)
+			}
+			seen[a] = term
+		}
+	}
+}
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -214,3 +214,35 @@
 		}
 	}
 }
+
+// A plan that moved a task away and was given up may land yet: the task must not start where the older plan has it, or the next
+// owner would believe the one that lands. Once a write of its key is through none of that counts any more.
+func TestOpenWritesHoldStarts(t *testing.T) {
+	j := &Job{ID: "req-000001", N: 2}
+	j.Open()
+	c := j.Chunks[0]
+	for i := range j.Tasks {
+		j.Tasks[i].Machine, c.Durable[i] = 4, 4
+	}
+	if !j.IsDurable(0) || !j.IsDurable(1) {
+		t.Fatal("a durable plan doesn't count")
+	}
+	c.Doubted([]int32{7, 4})
+	if j.IsDurable(0) || !j.IsDurable(1) {
+		t.Errorf("with a write open that plans the first elsewhere: %v, %v", j.IsDurable(0), j.IsDurable(1))
+	}
+	j.Tasks[0].Machine = 7
+	if j.IsDurable(0) {
+		t.Error("what only the open write says counts as durable")
+	}
+	c.Doubted([]int32{4, 9})
+	for _, m := range []int32{4, 7} {
+		if j.Tasks[0].Machine = m; j.IsDurable(0) {
+			t.Errorf("two open writes differ, and machine %d counts", m)
+		}
+	}
+	c.Pending, c.Doubt = []int32{4, 5}, nil
+	if j.Tasks[0].Machine = 4; !j.IsDurable(0) || j.IsDurable(1) {
+		t.Errorf("with a write under way: %v, %v", j.IsDurable(0), j.IsDurable(1))
+	}
+}
--- /dev/null
+++ b/internal/world/writes_test.go
@@ -0,0 +1,98 @@
+package world
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/rollout"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+type condition struct {
+	prefix string
+	own    bool
+	others []string
+}
+
+// conditions are what a write of a key must depend on, by the key's prefix, longest first: its own version, and others. The table
+// in docs/design.md says why each is enough.
+var conditions = []condition{
+	{prefix: "p/images", others: []string{"h/c/leader"}},
+	{prefix: jobs.PlanPages, own: true, others: []string{"h/c/leader"}},
+	{prefix: jobs.PlanPrefix, own: true, others: []string{"h/c/leader"}},
+	{prefix: "h/j/", own: true},
+	{prefix: "h/c/leader", own: true, others: []string{"h/c/term"}},
+	{prefix: "h/c/term", others: []string{"h/c/leader"}},
+	{prefix: "h/c/map", others: []string{"h/c/leader", "h/c/term"}},
+	{prefix: "h/c/types", own: true, others: []string{"h/c/leader"}},
+	{prefix: "h/c/n/", own: true},
+	{prefix: "h/r/n/", others: []string{"h/c/n/"}},
+	{prefix: "h/r/level", own: true, others: []string{"h/c/leader"}},
+	{prefix: "h/r/migration", others: []string{"h/c/leader", "h/r/level"}},
+	{prefix: "h/r/words", own: true, others: []string{"h/c/leader"}},
+	{prefix: "h/z/", own: true, others: []string{"h/c/leader"}},
+	{prefix: "h/o/", own: true, others: []string{"h/c/leader"}},
+	{prefix: "h/l/", own: true, others: []string{"h/c/leader"}},
+}
+
+// Every transaction that controllers send, through jobs that come, end and are cancelled, takeovers, a rollout, a zone that is lost
+// and operators' words, depends on what the table asks for; a write without a row in it is a write that nobody has thought about.
+func TestEveryWriteHasItsCondition(t *testing.T) {
+	r := newRolling(t, 221, 3, rollout.Base, "soak_s = 3")
+	seen, wrong := map[string]int{}, map[string]bool{}
+	r.Watch(func(_ int, tx store.Txn) Fate {
+		has := func(prefix string) bool {
+			return slices.ContainsFunc(tx.If, func(c store.Cond) bool { return strings.HasPrefix(c.Key, prefix) })
+		}
+		for _, o := range tx.Then {
+			key := o.Put + o.Delete
+			i := slices.IndexFunc(conditions, func(c condition) bool { return strings.HasPrefix(key, c.prefix) })
+			if i < 0 {
+				wrong[key+" has no row"] = true
+				continue
+			}
+			c := conditions[i]
+			seen[c.prefix]++
+			// An old plan's key that is dropped is never written again.
+			gone := o.Delete != "" && c.prefix == jobs.PlanPrefix
+			if c.own && !gone && !slices.ContainsFunc(tx.If, func(x store.Cond) bool { return x.Key == key }) {
+				wrong[c.prefix+" doesn't depend on its own version"] = true
+			}
+			for _, other := range c.others {
+				if !has(other) {
+					wrong[c.prefix+" doesn't depend on "+other] = true
+				}
+			}
+		}
+		return Fate{}
+	})
+	r.load(80 * time.Second)
+	r.Advance(15 * time.Second)
+	r.After(2*time.Second, func() { toLeader(time.Second, (*World).KillController)(r.World) })
+	r.Advance(10 * time.Second)
+	if l, _ := r.World.Leader(); l >= 0 {
+		r.Ask(l, "POST", "/v2/admin", []byte(`{"op":"drain","kind":"machine","name":"`+r.Busiest()+`","by":"test"}`), func(int, []byte) {})
+	}
+	rolled := false
+	r.Roll(rollout.Newest, time.Second, nil, func() { rolled = true })
+	r.reach("rolled", time.Minute, func() bool { return rolled })
+	r.reach("risen", 30*time.Second, func() bool { return r.Level() == rollout.Newest })
+	r.say("hold")
+	r.CutZone("a", Lost)
+	r.Advance(12 * time.Second)
+	r.CutZone("a", Whole)
+	r.Advance(70 * time.Second) // prices are asked for once a minute
+	r.Watch(nil)
+	r.over()
+	for w := range wrong {
+		t.Error(w)
+	}
+	for _, p := range []string{jobs.PlanPages, jobs.PlanPrefix, "h/j/", "h/c/leader", "h/c/types", "h/c/n/", "h/r/level", "h/r/migration", "h/r/words", "h/z/", "h/o/"} {
+		if seen[p] == 0 {
+			t.Errorf("no write of %s was seen: %v", p, seen)
+		}
+	}
+}
