--- a/internal/world/troubles_test.go
+++ b/internal/world/troubles_test.go
@@ -687,13 +687,48 @@
 	return r, gap, job
 }
 
+// served is the share of jobs that began within four minutes, by kind, by team, and of the largest quarter of a kind; those that
+// their users gave up don't count.
+func (r *rolling) served() map[string]float64 {
+	byKind := map[string][]*simUser{}
+	begun, all := map[string]int{}, map[string]int{}
+	count := func(set string, u *simUser) {
+		all[set]++
+		if d, ok := r.FirstStart(u.spec.ID); ok && d <= 4*time.Minute {
+			begun[set]++
+		}
+	}
+	for _, u := range r.users {
+		if u.asked {
+			continue
+		}
+		kind := string(u.spec.Kind)
+		byKind[kind] = append(byKind[kind], u)
+		count(kind, u)
+		count("team "+u.spec.Team, u)
+	}
+	for kind, us := range byKind {
+		slices.SortStableFunc(us, func(a, b *simUser) int {
+			return int(b.spec.CPUs)*b.spec.Tasks - int(a.spec.CPUs)*a.spec.Tasks
+		})
+		for _, u := range us[:(len(us)+3)/4] {
+			count("largest "+kind, u)
+		}
+	}
+	share := map[string]float64{}
+	for set, n := range all {
+		share[set] = float64(begun[set]) / float64(n)
+	}
+	return share
+}
+
 // All of the troubles of this file together, overlapping, in simulated time.
 func TestChaosOfTroubles(t *testing.T) {
 	seeds := 12
 	if os.Getenv("HAREWALK_LONG") != "" {
 		seeds = 200
 	}
-	ends, worst := map[string]int{}, time.Duration(0)
+	ends, worst, least := map[string]int{}, time.Duration(0), map[string]float64{}
 	var all Stats
 	for seed := range seeds {
 		r, gap, job := wild(t, uint64(600+seed), 90*time.Second)
@@ -705,6 +740,14 @@
 				ends[u.told[0]]++
 			}
 		}
+		for set, share := range r.served() {
+			if share < 0.5 {
+				t.Errorf("seed %d: %.2f of %s began within four minutes", 600+seed, share, set)
+			}
+			if was, ok := least[set]; !ok || share < was {
+				least[set] = share
+			}
+		}
 		s := r.Stats()
 		all.Starts, all.OneWay, all.Copies, all.Reborn, all.Severed, all.Kills, all.Freezes = all.Starts+s.Starts, all.OneWay+s.OneWay,
 			all.Copies+s.Copies, all.Reborn+s.Reborn, all.Severed+s.Severed, all.Kills+s.Kills, all.Freezes+s.Freezes
@@ -712,7 +755,7 @@
 			t.Fatalf("seed %d", 600+seed)
 		}
 	}
-	t.Logf("%d seeds: %v, %+v; the longest gap without an answer %v", seeds, ends, all, worst)
+	t.Logf("%d seeds: %v, %+v; the longest gap without an answer %v; least shares that began within four minutes %v", seeds, ends, all, worst, least)
 	if all.OneWay == 0 || all.Copies == 0 || all.Reborn == 0 || all.Severed == 0 || all.Freezes == 0 {
 		t.Error("a kind of trouble never came")
 	}
