Store: an overdue watch's late answer repeats nothing

Cause: since overdue watches are asked anew, the answer to an earlier one may come long after newer ones. It was handed on whole: a leader key that had been dropped meanwhile would have come back and stood for ever, and its controller would never have campaigned.

Change: a change is handed on once and in its order, whichever watch brings it: those up to the position that is reached are passed over.

Measured: TestOverdueWatch fails without it (a dropped key is told again); the world's tests of watches pass.

--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -134,10 +134,14 @@
 	m.Tick(now)
 }
 
-// take hands changes on. Those that were brought before are told again: whoever takes them goes by their versions.
+// take hands changes on, each once and in their order, whichever watch brings them: a watch that was given up may still be
+// answered, long after newer ones, and what it says of keys that have gone since would stand for ever.
 func (m *Mirror) take(sent time.Duration, rev uint64, ev []Event) {
 	m.fresh = max(m.fresh, sent)
 	for _, e := range ev {
+		if e.Version <= m.rev {
+			continue
+		}
 		if e.Put != "" {
 			m.OnItem(Item{Key: e.Put, Value: e.Value, Version: e.Version})
 		} else if e.Delete != "" {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -173,3 +174,61 @@
 		t.Fatalf("the position was lost and a key with it (%d follows)", follows)
 	}
 }
+
+// waiting is a line whose watches are answered by hand.
+type waiting struct {
+	line
+	watches []func(httpio.Response)
+}
+
+func (l *waiting) Send(addr string, r httpio.Request, done func(httpio.Response)) {
+	if strings.HasPrefix(r.Path, "/follow") {
+		l.watches = append(l.watches, done)
+		return
+	}
+	l.line.Send(addr, r, done)
+}
+
+// A watch gets no answer while the service answers other requests: it is asked anew, once it is overdue. Its own answer, which
+// comes long after the newer one, brings what is news and repeats nothing: a key that was dropped meanwhile doesn't come back.
+func TestOverdueWatch(t *testing.T) {
+	now := time.Duration(0)
+	l := &waiting{line: line{svc: state.New()}}
+	c := store.New("", l, func() time.Duration { return now }, store.Share{RPS: 1e6, WriteRPS: 1e6, BurstS: 0.8}, 24)
+	m := store.NewMirror(c, "h/", 18*time.Second)
+	there, told := map[string]bool{}, 0
+	m.OnItem = func(it store.Item) { there[it.Key], told = true, told+1 }
+	m.OnDrop = func(k string, _ uint64) { delete(there, k); told++ }
+	m.Tick(now)
+	if len(l.watches) != 1 {
+		t.Fatalf("%d watches", len(l.watches))
+	}
+	for range 30 { // in an outage it waits
+		now += 100 * time.Millisecond
+		m.Tick(now)
+	}
+	if len(l.watches) != 1 {
+		t.Fatal("asked anew though the service answers nothing")
+	}
+	c.Get("x", store.Safety, func(store.Item, error) {})
+	m.Tick(now)
+	if len(l.watches) != 2 {
+		t.Fatalf("%d watches: the one that is lost is waited for", len(l.watches))
+	}
+	say := func(i int, rev int, events string) {
+		l.watches[i](httpio.Response{Status: 200, Body: fmt.Appendf(nil, `{"epoch":%d,"events":[%s]}`, rev, events)})
+	}
+	put, drop, later := `{"set":"h/a","data":1,"stamp":1}`, `{"drop":"h/a","stamp":2}`, `{"set":"h/b","data":1,"stamp":3}`
+	say(1, 2, put+","+drop)
+	asked := m.Fresh()
+	say(0, 1, put) // what was so before it was dropped
+	if there["h/a"] || told != 2 || m.Fresh() != asked {
+		t.Errorf("an old answer counts: %v, %d changes told", there, told)
+	}
+	now += 50 * time.Millisecond
+	m.Tick(now)
+	say(0, 3, put+","+drop+","+later)
+	if !there["h/b"] || there["h/a"] || told != 3 {
+		t.Errorf("%v, %d changes told", there, told)
+	}
+}
