--- a/internal/fleet/hearing_test.go
+++ b/internal/fleet/hearing_test.go
@@ -401,6 +401,29 @@
 	}
 }
 
+// A machine reports on and on without the task that each answer tells it to start: for as long as its lease may still go on by those
+// answers nothing else is given to it, and it isn't heard. It is again with the first report at the token that was raised.
+func TestNoEffectIsDeaf(t *testing.T) {
+	g := newRig(t, 2, map[string]json.RawMessage{})
+	m := g.Machine(0, "m")
+	g.hear("m", 1, 2*fenced)
+	g.submit(spec(1, 8))
+	g.settle(store.Committed)
+	given, from := 0, g.now
+	for g.now-from < 3*g.hearWithin() {
+		g.now += 500 * time.Millisecond
+		if cs := g.hear("m", 1, 2*fenced); g.now-from > 2*g.hearWithin() {
+			given += len(cs)
+		}
+	}
+	if m.Condition != Deaf || given > 0 || m.Planned > 0 || g.now-m.Heard < g.hearWithin() {
+		t.Errorf("%v, %d commands given to it lately, %d tasks planned on it, heard %v ago", m.Condition, given, m.Planned, g.now-m.Heard)
+	}
+	if g.hear("m", 1, m.Token); m.Condition != Acting {
+		t.Errorf("%v though it carries the token that was raised", m.Condition)
+	}
+}
+
 // A machine that was lost and hears nothing reports in one session after the other, at a token of long ago: it doesn't count as
 // heard for that.
 func TestLostAndDeaf(t *testing.T) {
