--- a/internal/world/meetings_test.go
+++ b/internal/world/meetings_test.go
@@ -15,7 +15,7 @@
 )
 
 // Where two troubles meet: each of the users' meetings, with its ingredients crossed. The holds live for 2 s here, a lease is
-// 6 s and cancel_s 11.5 s, which is 1 s more than the inequality of the settings needs.
+// 6 s and cancel_s 11.5 s, 1 s more than the least that the settings accept.
 
 // met is a cluster on tight workers, with jobs of all kinds that run for long, so that something is to be lost.
 func met(t *testing.T, seed uint64, controllers, n int) (*rolling, *Balancer) {
