Fleet: a fetch that was given up leaves no image, so that gangs no longer wait alone on and on

Cause: a machine counts as having an image from a task's launch on.

Change: when the last task that waits for an image ends while it is being fetched, the machine counts as not having it, and the next launch lets the others start later, as for any first fetch.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -452,6 +452,9 @@
 	m := f.machines[k.Machine]
 	size := j.Spec.Size()
 	delete(m.On, Ref{j.Index, t})
+	if k.Phase == jobs.Fetching {
+		f.unfetched(m, j.Image)
+	}
 	m.Use = m.Use.Sub(size)
 	m.endsOK = false
 	if len(m.On) == 0 {
--- a/internal/fleet/guards_test.go
+++ b/internal/fleet/guards_test.go
@@ -444,3 +444,44 @@
 		}
 	}
 }
+
+// A task that is stopped while its image is being fetched leaves no image behind, unless another task there still waits for the
+// same one; one that came to run does.
+func TestFetchThatWasGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		states []string
+		other  bool
+		has    bool
+	}{{[]string{fetching}, false, false}, {[]string{fetching, running}, false, true}, {[]string{fetching}, true, true}} {
+		g := newRig(t, 2, map[string]json.RawMessage{})
+		m := g.Machine(0, "m")
+		g.hear("m", 1, 2*fenced)
+		n := 1
+		if c.other {
+			n = 2
+		}
+		j := g.submit(spec(1, n))
+		g.settle(store.Committed)
+		g.now += time.Second
+		g.hear("m", 1, 2*fenced)
+		report := func(state, why string) {
+			g.now += time.Second
+			tasks := []TaskReport{{Task: "req-000001/0", Attempt: j.Tasks[0].Attempt, State: state, Why: why}}
+			if c.other {
+				tasks = append(tasks, TaskReport{Task: "req-000001/1", Attempt: j.Tasks[1].Attempt, State: fetching})
+			}
+			g.hear("m", 1, 2*fenced, tasks...)
+		}
+		for _, s := range c.states {
+			report(s, "")
+		}
+		if !m.HasImage(j.Image) {
+			t.Fatalf("%v: the image isn't expected there while it is fetched", c.states)
+		}
+		m.Retiring = true // nothing starts anew
+		report(exited, whyStopped)
+		if m.HasImage(j.Image) != c.has {
+			t.Errorf("%v, another that waits %v: the machine counts as having the image: %v", c.states, c.other, !c.has)
+		}
+	}
+}
--- a/internal/fleet/images.go
+++ b/internal/fleet/images.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/harewalk/harewalk/internal/jobs"
@@ -96,3 +97,18 @@
 		f.hints[name] = m
 	}
 }
+
+// unfetched takes back that a machine has an image: the last task there that waited for it has ended while it was being
+// fetched, and the worker has given the fetch up. A gang whose image takes longer than its others wait once started
+// all its tasks together, on and on, because one machine was believed to have what it had never finished to fetch.
+func (f *Fleet) unfetched(m *Machine, image int32) {
+	for r := range m.On {
+		if f.job(r.Job).Image == image {
+			return
+		}
+	}
+	if i := slices.IndexFunc(m.images, func(c cached) bool { return c.image == image }); i >= 0 {
+		m.images = slices.Delete(m.images, i, i+1)
+		f.newImage(m)
+	}
+}
