--- a/internal/world/pairs_test.go
+++ b/internal/world/pairs_test.go
@@ -115,14 +115,7 @@
 		}
 		w.After(at, follow)
 	}
-	var watch func()
-	watch = func() {
-		if ls := w.Leading(); len(ls) > 1 {
-			w.Break("controllers %v believe that they may act", ls)
-		}
-		w.After(20*time.Millisecond, watch)
-	}
-	watch()
+	w.watchActing()
 	// The last trouble has ended by then.
 	healed := 12*time.Second + 4*seconds(tight.CancelS*1.5)
 	w.Advance(healed)
--- a/internal/world/sim_test.go
+++ b/internal/world/sim_test.go
@@ -98,6 +98,14 @@
 	return s
 }
 
+// watchActing holds that at most one controller believes that it may act, at every moment.
+func (w *World) watchActing() {
+	if ls := w.Leading(); len(ls) > 1 {
+		w.Break("controllers %v believe that they may act", ls)
+	}
+	w.After(20*time.Millisecond, w.watchActing)
+}
+
 const chaosPools = `licence "transcribe" {
   count    = 12
   server   = "licences:80"
@@ -168,15 +176,7 @@
 			}
 		})
 	}
-	// Of all controllers at most one may believe that it may act, at any moment.
-	var watch func()
-	watch = func() {
-		if ls := w.Leading(); len(ls) > 1 {
-			w.Break("controllers %v believe that they may act", ls)
-		}
-		w.After(20*time.Millisecond, watch)
-	}
-	watch()
+	w.watchActing()
 	// A clock on the wall that is off by an hour, forward or back, from a controller's next start on.
 	w.SetWall(rng.IntN(n), time.Duration(rng.IntN(3)-1)*time.Hour)
 	w.Advance(faulty + 25*time.Second)
