Capacity: boots are counted in one order, so that the same run rents the same

Cause: TestSimulationRepeats failed in some runs: boots under way were taken into the fitting of waiting work in the order of a map, and what is rented followed from it.

Change: in the order of their names, any of the orders that came by chance before.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -6,8 +6,10 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"net/url"
+	"slices"
 	"sort"
 	"time"
 
@@ -545,7 +547,8 @@
 		bins = append(bins, b)
 	}
 	overdue := c.overdue(now)
-	for name, bt := range c.boots {
+	for _, name := range slices.Sorted(maps.Keys(c.boots)) { // in one order: the same run rents the same
+		bt := c.boots[name]
 		c.zones[bt.zone]++ // or one request after the other would go to the same zone
 		// One that is far overdue is not counted on any more.
 		if t := c.typ(bt.typ); t != nil && !overdue[name] {
