Fleet: answers to direct commands don't keep a machine alive; only its reports do

Cause: a machine that reaches no controller, while direct commands reach it and are answered, counted as heard with every answer. Its owner went on sending it work that died with each of its leases, and never gave it up. Change: a direct answer still tells what is on the machine and that commands got there, but it neither makes the machine heard, nor brings it back from lost, deaf or unknown. TestAskedIsNotAlive, before: 70 s after its last report the machine was acting, with four tasks; after: nothing is sent once a report is overdue, and it is lost with its lease.

--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -128,6 +128,9 @@
 		// out with the answer, and the next report will carry it.
 		// One that was lost has to show that it hears first: a zone of machines that don't once counted as back with
 		// each of their new sessions, and more were rented there.
+		if direct {
+			return m, Accept
+		}
 		if m.Spoke = now; m.Condition != Deaf && m.Condition != Lost {
 			f.heard(now, m)
 		}
@@ -138,7 +141,11 @@
 	} else if !f.showed(now, m, r) {
 		return m, Accept
 	}
-	f.heard(now, m)
+	// What it was asked it answers, and may reach nobody all the same: then it dies with its lease, and no new work belongs
+	// there. Only a report tells that it lives.
+	if !direct {
+		f.heard(now, m)
+	}
 	if m.fencing {
 		m.fencing = false
 		f.settleLate(m)
@@ -150,7 +157,7 @@
 			f.condition(m, Noticed, "spot notice")
 			f.unlane(m)
 		}
-	case m.Condition != Acting && !m.Retiring:
+	case m.Condition != Acting && !m.Retiring && !direct:
 		if m.UpSince == 0 {
 			m.UpSince = now
 		}
