World: the users' further troubles, checks of answers and of idle room, a test for each meeting

New in the world: lost answers of the state service, copies kept for the next leader, machines that reach nobody but answer direct commands, users who look closely, ask for odd things, call jobs off as they run or end, fast boots, slow links, ten leaders. Checked: answers are monotonic over all controllers by real time; nothing that can't run is accepted; no job waits 90 s beside room once all is well; starts after a confirmed cancellation are counted. Where a test asked whether a user wanted a job cancelled, a request of any user counts now, since the world's users cancel too.

--- a/internal/world/faults.go
+++ b/internal/world/faults.go
@@ -2,7 +2,7 @@
 
 import (
 	"slices"
-	"strings"
+	"strconv"
 	"time"
 
 	"github.com/harewalk/harewalk/internal/jobs"
@@ -27,13 +27,16 @@
 func (w *World) AllDone(id string, tasks int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	n := 0
-	for name, p := range w.tasks {
-		if p.done && strings.HasPrefix(name, id+"/") {
-			n++
+	return w.allDone(id, tasks)
+}
+
+func (w *World) allDone(id string, tasks int) bool {
+	for t := range tasks {
+		if p := w.tasks[id+"/"+strconv.Itoa(t)]; p == nil || !p.done {
+			return false
 		}
 	}
-	return n == tasks
+	return true
 }
 
 // up lists the machines that are up and do not hang.
--- a/internal/world/machine.go
+++ b/internal/world/machine.go
@@ -32,6 +32,7 @@
 	late     time.Duration // direct commands are held back for so long
 	deafTill time.Duration // it hears nothing, though it is heard
 	muteTill time.Duration // it isn't heard, though it hears
+	shutTill time.Duration // it reaches no controller, though direct commands reach it and are answered
 	faulty   bool          // every task fails on it
 	life     int           // times it was started
 	noticeAt time.Duration // the cloud takes it then; 0: it does not
@@ -61,6 +62,8 @@
 	work    float64       // seconds still to do when it began to run
 	flushed time.Duration // saved by then
 	counted bool          // on the machine, by the rules
+	direct  bool          // launched by a direct command
+	given   time.Duration // when its launch came
 }
 
 // States and reasons on the wire.
@@ -234,6 +237,7 @@
 	w.stat(k).done = true
 	w.exit(now, k, "done")
 	w.stats.Done++
+	defer w.ends(k.spec)
 	if k.spec.Kind == jobs.Gang {
 		for t := range k.spec.Tasks {
 			w.stat(&task{name: k.spec.ID + "/" + strconv.Itoa(t)}).done = true
@@ -261,6 +265,13 @@
 		w.waits[k.spec.ID] = now - w.known[k.spec.ID]
 	}
 	w.stats.Starts++
+	if at, ok := w.told[k.spec.ID]; ok {
+		w.stats.AfterCancel++
+		if k.direct {
+			w.stats.AfterCancelDirect++
+		}
+		w.stats.LatestAfterCancel = max(w.stats.LatestAfterCancel, now-at)
+	}
 	if w.stat(k).done {
 		w.stats.Again++
 	}
@@ -357,7 +368,11 @@
 		return 409, w.report(now, m)
 	}
 	m.token = *o.Token
+	had := len(m.tasks)
 	w.execute(now, m, o.Commands)
+	for _, k := range m.tasks[min(had, len(m.tasks)):] {
+		k.direct = true
+	}
 	return 200, w.report(now, m)
 }
 
@@ -387,7 +402,7 @@
 
 func (w *World) launch(now time.Duration, m *Machine, c fleet.Command) *task {
 	id, _, _ := strings.Cut(c.Task, "/")
-	k := &task{name: c.Task, attempt: c.Attempt, spec: w.spec(id), state: pulling, ready: now}
+	k := &task{name: c.Task, attempt: c.Attempt, spec: w.spec(id), state: pulling, ready: now, given: now}
 	if k.spec == nil {
 		k.spec = &jobs.Spec{ID: id}
 		k.state, k.why = exited, "no_such"
@@ -460,8 +475,11 @@
 	body, _ := json.Marshal(r)
 	m.reported, m.lastSent = m.said(), now
 	m.next = now + seconds(w.cfg.Workers.ReportS*(0.75+0.5*w.rng.Float64()))
-	to, life, mute := w.settings[m.keeper].Public, m.life, now < m.muteTill
-	w.copyLater(m.zone, "/checkin", body)
+	to, life, mute, shut := w.settings[m.keeper].Public, m.life, now < m.muteTill, now < m.shutTill
+	if !shut {
+		w.copyLater(m.zone, "/checkin", body)
+		w.keepCopy(m.zone, body)
+	}
 	w.mu.Unlock()
 	heard := func(status int, answer []byte) { w.answered(m, life, now, r.Session, status, answer) }
 	unheard := func() { w.ground.after(max(0, now+reportWait-w.now()), func() { heard(0, nil) }) }
@@ -469,6 +487,10 @@
 		unheard()
 		return
 	}
+	if shut { // its connections fail at once
+		w.ground.after(0, func() { heard(0, nil) })
+		return
+	}
 	w.ground.ask(m.zone, to, "/checkin", body, func(status int, answer []byte) {
 		w.mu.Lock()
 		deaf := w.now() < m.deafTill
--- a/internal/world/meetings.go
+++ b/internal/world/meetings.go
@@ -16,6 +16,8 @@
 	rng     *rand.Rand // of its own: what is late doesn't change what else is drawn
 	writes  span       // of transactions without an answer
 	share   float64    // of transactions that are late
+	lost    float64    // of transactions that are carried out at once, and whose answer is lost
+	keeps   float64    // of reports of which a copy is kept for the next leader
 	state   span       // of the state service's answers
 	orders  span       // of direct commands, and of the answers to them
 	answers span       // of the answers to reports
@@ -39,10 +41,71 @@
 	w.delays.share, w.delays.writes = share, span{least, most}
 }
 
+// LoseAnswers lets a share of the transactions be carried out at once, and only their answers be lost; 0 ends it.
+func (w *World) LoseAnswers(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.delays.lost = share
+}
+
+// keptCopy is a copy of a report that waits for the next leader.
+type keptCopy struct {
+	zone string
+	body []byte
+}
+
+// mostKept bounds the copies that wait: the newest are kept.
+const mostKept = 200
+
+// KeepCopies lets copies of a share of the workers' reports wait for the next leader: half of them reach every controller
+// just as its term begins, the others once it has acted; 0 ends it.
+func (w *World) KeepCopies(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.delays.keeps = share; share == 0 {
+		w.kept = nil
+	}
+}
+
+func (w *World) keepCopy(zone string, body []byte) {
+	if w.delays.keeps == 0 || w.delays.rng.Float64() >= w.delays.keeps {
+		return
+	}
+	w.kept = append(w.kept, keptCopy{zone, body})
+	w.kept = w.kept[max(0, len(w.kept)-mostKept):]
+}
+
+// deliverKept is called as a leader's key is written.
+func (w *World) deliverKept() {
+	kept := w.kept
+	w.kept = nil
+	for i, c := range kept {
+		w.stats.Kept++
+		d := time.Duration(w.delays.rng.IntN(800)) * time.Millisecond
+		if i%2 == 1 {
+			d += 1500*time.Millisecond + time.Duration(w.delays.rng.Int64N(int64(w.lateness(1))))
+		}
+		for _, s := range w.settings {
+			w.ground.after(d, func() { w.ground.ask(c.zone, s.Public, "/checkin", c.body, func(int, []byte) {}) })
+		}
+	}
+}
+
+// FlipLeaders lets whoever leads end n times, evenly over a time, and come back within a second.
+func (w *World) FlipLeaders(n int, d time.Duration) {
+	for i := range n {
+		w.ground.after(time.Duration(i)*d/time.Duration(n), func() { toLeader(700*time.Millisecond, (*World).KillController)(w) })
+	}
+}
+
 // lateWrite tells what becomes of a transaction while writes are late.
 func (w *World) lateWrite(t store.Txn) Fate {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.delays.lost > 0 && len(t.Then) > 0 && w.delays.rng.Float64() < w.delays.lost {
+		w.stats.LostAnswers++
+		return Fate{Unanswered: true}
+	}
 	if w.delays.share == 0 || len(t.Then) == 0 || w.delays.rng.Float64() >= w.delays.share {
 		return Fate{}
 	}
--- a/internal/world/meetings_test.go
+++ b/internal/world/meetings_test.go
@@ -19,9 +19,15 @@
 
 // met is a cluster on tight workers, with jobs of all kinds that run for long, so that something is to be lost.
 func met(t *testing.T, seed uint64, controllers, n int) (*rolling, *Balancer) {
+	t.Helper()
+	return metOn(t, seed, controllers, n, tight)
+}
+
+// metOn does so on other workers.
+func metOn(t *testing.T, seed uint64, controllers, n int, workers config.Workers) (*rolling, *Balancer) {
 	t.Helper()
 	types := []capacity.MachineType{{Name: "g4", CPUs: 16, GPUs: 4, Mem: 128, CacheGB: 100, FetchGB: 10, Price: 4, Spot: 1.5, BootS: 3, Zones: []string{"a", "b", "c"}}}
-	w, err := Simulated(Config{Seed: seed, Machines: 20, Types: types, Controllers: controllers, Zones: []string{"a", "b", "c"}, Step: 20 * time.Millisecond, Workers: tight, Uneven: true,
+	w, err := Simulated(Config{Seed: seed, Machines: 20, Types: types, Controllers: controllers, Zones: []string{"a", "b", "c"}, Step: 20 * time.Millisecond, Workers: workers, Uneven: true,
 		Pools: map[string]int{"transcribe": 12}, State: config.State{RPS: 400, WriteRPS: 60, ValueKB: 8, TxnOps: 24}, Teams: []config.Team{{Name: "red", CPUs: 60, CPUsMax: 130}, {Name: "blue", CPUs: 60, CPUsMax: 130}}},
 		func(s *config.Settings) error { return s.ReadOperator("o.hcl", []byte(chaosPools)) })
 	if err != nil {
@@ -39,6 +45,11 @@
 
 // give submits a long job: an array, a gang, or an array that saves.
 func (r *rolling) give(i int, estimate float64) *simUser {
+	return r.giveAs(i, estimate, func(*jobs.Spec) {})
+}
+
+// giveAs does so with something changed.
+func (r *rolling) giveAs(i int, estimate float64, change func(*jobs.Spec)) *simUser {
 	s := &jobs.Spec{ID: fmt.Sprintf("req-6%05d", i), Class: "long", Team: []string{"red", "blue"}[i%2], Kind: jobs.Array, Priority: "standard", Tasks: 1 + i%3, CPUs: 3, Mem: 1,
 		Image: "i", ImageGB: 1, EstimateS: estimate, Spot: true}
 	if i%5 > 0 { // machines stand in all zones
@@ -50,6 +61,7 @@
 	case 2:
 		s.CheckpointS, s.SaveS = 1, 1.5
 	}
+	change(s)
 	u := &simUser{w: r.World, rng: r.rng, spec: s}
 	r.users = append(r.users, u)
 	u.submit()
@@ -82,6 +94,7 @@
 	for i := range r.Controllers() {
 		r.StartController(i)
 	}
+	beside := r.Healed()
 	r.over()
 	for _, n := range r.nodes() {
 		if r.Key("h/c/n/"+n).Version == 0 {
@@ -89,7 +102,8 @@
 		}
 	}
 	s := r.Stats()
-	r.t.Logf("cancelled tasks stayed %v at most, of %v", s.LongestCancelled, seconds(tight.CancelS))
+	longest, job := beside()
+	r.t.Logf("cancelled tasks stayed %v at most, of %v; %s waited %v beside room; %d tasks began after their cancellation, the latest %v", s.LongestCancelled, seconds(tight.CancelS), job, longest, s.AfterCancel, s.LatestAfterCancel)
 }
 
 // inside is what else goes on in a gap, by name; each is given the leader.
--- a/internal/world/pairs_test.go
+++ b/internal/world/pairs_test.go
@@ -61,6 +61,8 @@
 			switch arg {
 			case 'n':
 				s += " " + strconv.Itoa(rng.IntN(3))
+			case 'c':
+				s += " " + strconv.Itoa(1+rng.IntN(8))
 			case 'z':
 				s += " " + []string{"a", "b", "c"}[rng.IntN(3)]
 			default:
--- a/internal/world/rollout_test.go
+++ b/internal/world/rollout_test.go
@@ -18,6 +18,7 @@
 
 // rolling is a simulated cluster through a rollout, with a load that goes on.
 type rolling struct {
+	beside time.Duration // the longest wait of a job beside room, once all was well
 	*World
 	t     *testing.T
 	rng   *rand.Rand
@@ -191,7 +192,7 @@
 		switch {
 		case len(u.told) == 0:
 			r.t.Errorf("%s is not over (status %d)", u.spec.ID, u.status)
-		case u.told[0] == "cancelled" && !u.asked:
+		case u.told[0] == "cancelled" && !u.asked && !r.AskedToEnd(u.spec.ID):
 			r.t.Errorf("%s is cancelled, and nobody asked for it", u.spec.ID)
 		}
 		for _, s := range u.told {
--- a/internal/world/script.go
+++ b/internal/world/script.go
@@ -22,7 +22,7 @@
 }
 
 // faults are the words of a script, with how many arguments each takes: times, but for refuse's
-// first, which is a controller's number, and a zone's name.
+// first, which is a controller's number, cancel-now's, which is how many jobs, and a zone's name.
 var faults = map[string]struct {
 	args string
 	make func(d time.Duration, n int, zone string) func(*World)
@@ -60,6 +60,29 @@
 	"outage-at-cancel": {"t", func(d time.Duration, _ int, _ string) func(*World) {
 		return func(w *World) { w.OnCancelled(func() { during(d, (*World).Outage)(w) }) }
 	}},
+	"lost-answers": {"t", func(d time.Duration, _ int, _ string) func(*World) {
+		return during(d, func(w *World, on bool) { w.LoseAnswers(map[bool]float64{true: 0.3}[on]) })
+	}},
+	"keep-copies": {"t", func(d time.Duration, _ int, _ string) func(*World) {
+		return during(d, func(w *World, on bool) { w.KeepCopies(map[bool]float64{true: 0.3}[on]) })
+	}},
+	"close-looks":  {"t", func(d time.Duration, _ int, _ string) func(*World) { return during(d, (*World).CloseLooks) }},
+	"odd-requests": {"t", func(d time.Duration, _ int, _ string) func(*World) { return during(d, (*World).OddRequests) }},
+	"cancel-now": {"ct", func(d time.Duration, n int, _ string) func(*World) {
+		return func(w *World) { w.CancelNow(n, d) }
+	}},
+	"cancel-at-end": {"t", func(d time.Duration, _ int, _ string) func(*World) {
+		return during(d, func(w *World, on bool) { w.CancelAtEnd(map[bool]float64{true: 0.5}[on]) })
+	}},
+	"shut-machine": {"t", func(d time.Duration, _ int, _ string) func(*World) { return func(w *World) { w.Shut(1, "", d) } }},
+	"shut-machines": {"zt", func(d time.Duration, _ int, zone string) func(*World) {
+		return func(w *World) { w.Shut(1<<30, zone, d) }
+	}},
+	"fast-boots": {"t", bootsFor(fastBy, 0)},
+	"slow-links": {"t", func(d time.Duration, _ int, _ string) func(*World) {
+		return during(d, func(w *World, on bool) { w.SlowLinks(map[bool]time.Duration{true: slowLink}[on]) })
+	}},
+	"flip-leaders": {"t", func(d time.Duration, _ int, _ string) func(*World) { return func(w *World) { w.FlipLeaders(flips, d) } }},
 	"licence-down": {"t", func(d time.Duration, _ int, _ string) func(*World) {
 		return during(d, func(w *World, on bool) { w.Licences.Down(on) })
 	}},
@@ -105,11 +128,20 @@
 }
 
 // simulated are the faults that do something to controllers: a simulation's only.
-var simulated = map[string]bool{"cut-off-leader": true, "unheard-leader": true, "kill-leader": true, "drain-leader": true, "freeze-leader": true, "kill-controllers": true,
+var simulated = map[string]bool{"close-looks": true, "odd-requests": true, "cancel-now": true, "cancel-at-end": true, "slow-links": true, "flip-leaders": true, "cut-off-leader": true, "unheard-leader": true, "kill-leader": true, "drain-leader": true, "freeze-leader": true, "kill-controllers": true,
 	"cut-zone": true, "hold-zone": true, "refuse-zone": true, "deaf-zone": true, "mute-zone": true, "flap-zone": true, "power-zone": true, "roll": true, "roll-back": true}
 
-// lateBy is how many times longer than usual boots take under late-boots.
-const lateBy = 5
+// lateBy is how many times longer than usual boots take under late-boots, fastBy under fast-boots: all are up within two seconds.
+const (
+	lateBy = 5
+	fastBy = 0.01
+)
+
+// slowLink is the mean time of a message on its way under slow-links, and flips how often flip-leaders ends whoever leads.
+const (
+	slowLink = 150 * time.Millisecond
+	flips    = 10
+)
 
 // heldFor is a script's fault: messages of a kind are held up by a part of a lease for a time.
 func heldFor(set func(w *World, least, most time.Duration), least, most float64) func(d time.Duration, _ int, _ string) func(*World) {
@@ -172,7 +204,7 @@
 func FaultWords() []string {
 	var ws []string
 	for name, f := range faults {
-		ws = append(ws, strings.TrimSpace(name+" "+strings.NewReplacer("n", "CONTROLLER ", "z", "ZONE ", "t", "TIME").Replace(f.args)))
+		ws = append(ws, strings.TrimSpace(name+" "+strings.NewReplacer("n", "CONTROLLER ", "c", "COUNT ", "z", "ZONE ", "t", "TIME").Replace(f.args)))
 	}
 	sort.Strings(ws)
 	return ws
@@ -204,7 +236,7 @@
 		n, zone := 0, ""
 		for i, kind := range f.args {
 			switch kind {
-			case 'n':
+			case 'n', 'c':
 				n, err = strconv.Atoi(fs[2+i])
 			case 'z':
 				zone = fs[2+i]
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -121,6 +121,7 @@
 	w.woken(rev)
 	if r.Status == 200 && slices.ContainsFunc(t.Then, func(o store.Op) bool { return o.Put == membership.Prefix+"leader" }) {
 		w.led = append(w.led, now)
+		w.deliverKept()
 	}
 	return r.Status, r.Body
 }
--- /dev/null
+++ b/internal/world/seven_test.go
@@ -0,0 +1,344 @@
+package world
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/capacity"
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+// The users' further meetings, each with its ingredients crossed, in the cluster of meetings_test.go. Answers are held to be
+// monotonic over all controllers throughout, and no job may wait for long beside room once all is well.
+
+// changes are the ways in which one controller's work passes on to another, by name; each is given the leader.
+var changes = map[string]func(r *rolling, l int){
+	"killed":      inside["leader killed"],
+	"at once":     inside["leader back at once"],
+	"frozen":      inside["leader frozen"],
+	"drained":     inside["leader drained"],
+	"refused":     func(r *rolling, l int) { r.Refuse(l, true); r.After(6*time.Second, func() { r.Refuse(l, false) }) },
+	"cut off":     func(r *rolling, l int) { severFor(r.World, l, FromState|FromPeers, 6*time.Second) },
+	"all killed":  func(r *rolling, _ int) { killAll(r.World, 300*time.Millisecond) },
+	"watch stuck": func(r *rolling, l int) { r.Stick(l, true); r.After(12*time.Second, func() { r.Stick(l, false) }) },
+}
+
+func killAll(w *World, back time.Duration) {
+	for i := range w.Controllers() {
+		w.KillController(i)
+		w.After(back+time.Duration(i)*200*time.Millisecond, func() { w.StartController(i) })
+	}
+}
+
+// Users ask at all controllers, again and again within milliseconds, and repeat the submission, right after a job was accepted,
+// ended or confirmed as cancelled, some cancelling at once: nobody answers anything older. With nothing else going on, while answers
+// of the state service are lost, late or slow, and while the lead passes.
+func TestLookedAtClosely(t *testing.T) {
+	meets := map[string]func(r *rolling){
+		"nothing":      func(*rolling) {},
+		"lost answers": func(r *rolling) { r.LoseAnswers(0.2) },
+		"late writes":  func(r *rolling) { r.LateWrites(0.15, 300*time.Millisecond, 3*time.Second) },
+		"slow state":   func(r *rolling) { r.SlowState(5*time.Millisecond, 700*time.Millisecond) },
+		"changes": func(r *rolling) {
+			for i, how := range []string{"killed", "drained", "refused", "frozen"} {
+				r.After(time.Duration(2+7*i)*time.Second, func() {
+					if l, _ := r.World.Leader(); l >= 0 {
+						changes[how](r, l)
+					}
+				})
+			}
+		},
+		"watches stick": func(r *rolling) {
+			for i := range r.Controllers() {
+				r.After(time.Duration(4*i)*time.Second, func() { during(4*time.Second, func(w *World, on bool) { w.Stick(i, on) })(r.World) })
+			}
+		},
+	}
+	for what, f := range meets {
+		for _, controllers := range []int{3, 5} {
+			t.Run(fmt.Sprint(what, " ", controllers), func(t *testing.T) {
+				t.Parallel()
+				r, _ := met(t, 301, controllers, 8)
+				r.CloseLooks(true)
+				r.CancelAtEnd(0.3)
+				r.OddRequests(true)
+				f(r)
+				r.load(24 * time.Second)
+				for k := range 8 {
+					r.After(time.Duration(2+2*k)*time.Second, func() { r.cancelAt(r.users[k], k%controllers) })
+				}
+				r.Advance(32 * time.Second)
+				r.LoseAnswers(0)
+				r.LateWrites(0, 0, 0)
+				r.SlowState(0, 0)
+				r.Advance(5 * time.Second)
+				r.settled()
+				if s := r.Stats(); s.CloseLooks < 40 || s.Odd < 60 || s.Refused < 10 || s.CalledOff < 4 {
+					t.Errorf("hardly anybody looked: %+v", s)
+				}
+			})
+		}
+	}
+}
+
+// Transactions are carried out at once and only their answers are lost, while the other controllers read what they wrote: of
+// submissions, cancellations, ends, plans, campaigns, registrations. Whoever wrote neither undoes nor doubles it.
+func TestOnlyTheAnswerIsLost(t *testing.T) {
+	for _, share := range []float64{0.15, 0.4, 0.8} {
+		for _, controllers := range []int{3, 5} {
+			t.Run(fmt.Sprint(share, " ", controllers), func(t *testing.T) {
+				t.Parallel()
+				r, _ := met(t, 302, controllers, 12)
+				r.CloseLooks(true)
+				r.load(30 * time.Second)
+				r.LoseAnswers(share)
+				for k := range 10 {
+					r.After(time.Duration(1+2*k)*time.Second, func() { r.cancelAt(r.users[k], k%controllers) })
+				}
+				for i, how := range []string{"killed", "drained", "all killed", "at once"} {
+					r.After(time.Duration(3+7*i)*time.Second, func() {
+						if l, _ := r.World.Leader(); l >= 0 {
+							changes[how](r, l)
+						}
+					})
+				}
+				r.Advance(32 * time.Second)
+				if n := r.Stats().LostAnswers; n < 20 {
+					t.Errorf("%d answers were lost", n)
+				}
+				r.LoseAnswers(0)
+				r.Advance(5 * time.Second)
+				r.settled()
+			})
+		}
+	}
+}
+
+// used is how many processors a team's tasks take on machines, by the truth.
+func (r *rolling) used(team string) (cpus float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.machines {
+		for _, k := range m.tasks {
+			if !m.dead && k.counted && k.spec.Team == team {
+				cpus += k.spec.CPUs
+			}
+		}
+	}
+	return cpus
+}
+
+// Every team is at its limit while jobs are cancelled whose machines are cut off, deaf, shut or hang, for less than a lease and for
+// more, and the lead passes: what may still run counts, and no longer than that.
+func TestEveryTeamAtItsLimit(t *testing.T) {
+	outs := map[string]func(r *rolling, zone string, d time.Duration){
+		"cut":  func(r *rolling, zone string, d time.Duration) { cutFor(Lost)(d, 0, zone)(r.World) },
+		"held": func(r *rolling, zone string, d time.Duration) { cutFor(Held)(d, 0, zone)(r.World) },
+		"deaf": func(r *rolling, zone string, d time.Duration) { r.Deafen(9, zone, d) },
+		"shut": func(r *rolling, zone string, d time.Duration) { r.Shut(9, zone, d) },
+		"hang": func(*rolling, string, time.Duration) {},
+	}
+	for what, out := range outs {
+		for _, d := range []time.Duration{4 * time.Second, 9 * time.Second} {
+			for _, how := range []string{"killed", "frozen", "drained"} {
+				t.Run(fmt.Sprint(what, " ", d, " ", how), func(t *testing.T) {
+					t.Parallel()
+					r, _ := met(t, 303, 3, 24)
+					for k := range 60 { // more than both teams may run
+						r.give(100+k, 9)
+					}
+					r.reach("at the limits", 30*time.Second, func() bool { return r.used("red") > 120 && r.used("blue") > 120 })
+					l, zone := r.led(), r.elsewhere()
+					out(r, zone, d)
+					hang := time.Duration(0)
+					if what == "hang" {
+						hang = d
+					}
+					if n := len(r.CancelNow(16, hang)); n < 12 {
+						t.Errorf("%d jobs were called off", n)
+					}
+					r.After(250*time.Millisecond, func() { changes[how](r, l) })
+					r.After(d/2, func() { r.CancelNow(8, 0) })
+					r.Advance(d + 4*time.Second)
+					r.settled()
+				})
+			}
+		}
+	}
+}
+
+// Jobs are cancelled in the seconds in which one controller's work passes to another, at every tenth of a second of it, through all
+// controllers, the one that hands over among them.
+func TestCancelledWhileWorkChangesHands(t *testing.T) {
+	for how, change := range changes {
+		for _, controllers := range []int{3, 5} {
+			t.Run(fmt.Sprint(how, " ", controllers), func(t *testing.T) {
+				t.Parallel()
+				r, _ := met(t, 304, controllers, 40)
+				r.load(12 * time.Second)
+				l := r.led()
+				r.CloseLooks(true)
+				for k := range 40 {
+					r.After(time.Duration(100*k)*time.Millisecond, func() { r.cancelAt(r.users[k], (l+k)%controllers) })
+				}
+				r.After(time.Second, func() { change(r, l) })
+				r.Advance(14 * time.Second)
+				r.settled()
+			})
+		}
+	}
+}
+
+// New machines are up within two seconds and get work at once while writes lag, and the leader ends: nothing starts on them that its
+// plan doesn't name, and nothing twice.
+func TestBootsAtOnce(t *testing.T) {
+	lag := map[string]func(r *rolling){
+		"late":  func(r *rolling) { r.LateWrites(0.35, 500*time.Millisecond, 4*time.Second) },
+		"slow":  func(r *rolling) { r.SlowState(100*time.Millisecond, 1500*time.Millisecond) },
+		"lost":  func(r *rolling) { r.LoseAnswers(0.5) },
+		"never": func(r *rolling) { r.neverPlans() },
+	}
+	for what, f := range lag {
+		for _, how := range []string{"killed", "at once", "frozen"} {
+			t.Run(what+" "+how, func(t *testing.T) {
+				t.Parallel()
+				r, _ := met(t, 305, 3, 24)
+				r.Boots(0.01, 0)
+				f(r)
+				for range 3 {
+					for range 5 {
+						r.KillMachine()
+					}
+					for k := range 8 {
+						r.give(100+len(r.users)+k, 5)
+					}
+					r.Advance(1200 * time.Millisecond)
+					if l, _ := r.World.Leader(); l >= 0 {
+						changes[how](r, l)
+					}
+					r.Advance(7 * time.Second)
+				}
+				r.Boots(0, 0)
+				r.LateWrites(0, 0, 0)
+				r.SlowState(0, 0)
+				r.LoseAnswers(0)
+				r.Watch(nil)
+				r.Advance(5 * time.Second)
+				r.settled()
+			})
+		}
+	}
+}
+
+// neverPlans lets every third write of plans get no answer: it is never carried out, or late.
+func (r *rolling) neverPlans() {
+	n := 0
+	r.Watch(func(_ int, t store.Txn) Fate {
+		if !slices.ContainsFunc(t.Then, func(o store.Op) bool { return len(o.Put) > 1 && o.Put[:2] == jobs.PlanPrefix[:2] }) {
+			return Fate{}
+		}
+		switch n++; n % 6 {
+		case 0:
+			return Fate{Never: true}
+		case 3:
+			return Fate{Later: 2500 * time.Millisecond}
+		}
+		return Fate{}
+	})
+}
+
+// Old reports, of earlier sessions, lives and attempts too, reach every controller just as a new leader begins, and once it has
+// acted: nothing follows from them, and the machines they name go on.
+func TestOldReportsAsALeaderBegins(t *testing.T) {
+	meets := map[string]func(r *rolling){
+		"nothing":  func(*rolling) {},
+		"sessions": func(r *rolling) { r.Deafen(4, "", 7*time.Second); r.Shut(4, "", 7*time.Second) },
+		"lives":    func(r *rolling) { r.Rebirth("", 200*time.Millisecond); r.Rebirth("", 900*time.Millisecond) },
+		"ends":     func(r *rolling) { r.CrashTask(); r.KillMachine(); r.Notice(time.Second) },
+		"cancel":   func(r *rolling) { r.CancelNow(4, 3*time.Second) },
+	}
+	for what, f := range meets {
+		for _, how := range []string{"killed", "drained", "all killed", "cut off"} {
+			t.Run(what+" "+how, func(t *testing.T) {
+				t.Parallel()
+				r, _ := met(t, 306, 3, 20)
+				r.load(40 * time.Second)
+				r.KeepCopies(0.6)
+				for range 5 {
+					f(r)
+					r.Advance(3 * time.Second)
+					if l, _ := r.World.Leader(); l >= 0 {
+						changes[how](r, l)
+					}
+					r.Advance(6 * time.Second)
+				}
+				r.KeepCopies(0)
+				if n := r.Stats().Kept; n < 100 {
+					t.Errorf("%d copies were kept", n)
+				}
+				r.Advance(6 * time.Second)
+				r.settled()
+			})
+		}
+	}
+}
+
+// One-task jobs come four a second for minutes, a quarter of them cancelled, at the rates of the users' smaller state service (30
+// changes a second): all are accepted at once and begin soon, also across two changes of the lead.
+func TestStreamOfOneTaskJobs(t *testing.T) {
+	for _, controllers := range []int{3, 5} {
+		t.Run(fmt.Sprint(controllers), func(t *testing.T) {
+			t.Parallel()
+			types := []capacity.MachineType{{Name: "g4", CPUs: 16, GPUs: 4, Mem: 128, CacheGB: 100, FetchGB: 10, Price: 4, Spot: 1.5, BootS: 3, Zones: []string{"a", "b", "c"}}}
+			w, err := Simulated(Config{Seed: 307, Machines: 12, Types: types, Controllers: controllers, Zones: []string{"a", "b", "c"}, Step: 20 * time.Millisecond, Workers: tight,
+				State: config.State{RPS: 120, WriteRPS: 30, ValueKB: 8, TxnOps: 24}, Teams: []config.Team{{Name: "red"}, {Name: "blue"}}}, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := &rolling{World: w, t: t, rng: rand.New(rand.NewPCG(307, 43))}
+			r.watch()
+			r.led()
+			r.CloseLooks(true)
+			tries, latest := 0, time.Duration(0)
+			const n = 600
+			for i := range n {
+				r.After(time.Duration(i)*250*time.Millisecond, func() {
+					s := &jobs.Spec{ID: fmt.Sprintf("req-5%05d", i), Class: "tiny", Team: []string{"red", "blue"}[i%2], Kind: jobs.Array, Priority: "standard", Tasks: 1, CPUs: 1, Mem: 1,
+						Image: "i", ImageGB: 0.5, EstimateS: 5, Spot: true}
+					u := &simUser{w: r.World, rng: r.rng, spec: s}
+					r.users = append(r.users, u)
+					u.submit()
+					if i%4 == 0 {
+						r.After(time.Duration(r.rng.IntN(6000))*time.Millisecond, u.cancel)
+					}
+					at := r.Now()
+					var look func()
+					look = func() {
+						if u.status == 200 || u.status == 201 {
+							latest = max(latest, r.Now()-at)
+							return
+						}
+						tries++
+						r.After(100*time.Millisecond, look)
+					}
+					r.After(50*time.Millisecond, look)
+				})
+			}
+			r.After(50*time.Second, func() { l := r.Leading(); changes["killed"](r, l[0]) })
+			r.After(100*time.Second, func() { l := r.Leading(); changes["drained"](r, l[0]) })
+			r.Advance(n * 250 * time.Millisecond)
+			r.settled()
+			waits := r.Waits("tiny")
+			slices.Sort(waits)
+			t.Logf("%d began, half within %v, 98%% within %v, the last after %v; the latest was accepted after %v", len(waits), waits[len(waits)/2], waits[len(waits)*98/100], waits[len(waits)-1], latest)
+			if len(waits) < n*3/4 || waits[len(waits)/2] > 2*time.Second || waits[len(waits)-1] > 30*time.Second || latest > 10*time.Second {
+				t.Errorf("%d began", len(waits))
+			}
+		})
+	}
+}
--- a/internal/world/sim.go
+++ b/internal/world/sim.go
@@ -42,6 +42,12 @@
 	w.sim.mean, w.sim.lost, w.sim.late, w.sim.lag = mean, lost, late, lag
 }
 
+// SlowLinks lets messages take a mean time on their way from now on; 0 is the usual one.
+func (w *World) SlowLinks(mean time.Duration) { w.sim.mean = max(mean, usualLink) }
+
+// usualLink is the mean time of a message on its way where nothing else is said.
+const usualLink = 2 * time.Millisecond
+
 type event struct {
 	at  time.Duration
 	seq uint64
@@ -80,7 +86,7 @@
 // Simulated starts a world in simulated time, with its controllers; operator, unless it is nil, adds
 // operators' settings to each.
 func Simulated(cfg Config, operator func(*config.Settings) error) (*World, error) {
-	s := &Sim{rng: rand.New(rand.NewPCG(cfg.Seed, 13)), at: map[string]handler{}, zone: map[string]string{}, mean: 2 * time.Millisecond}
+	s := &Sim{rng: rand.New(rand.NewPCG(cfg.Seed, 13)), at: map[string]handler{}, zone: map[string]string{}, mean: usualLink}
 	w, err := start(cfg, s)
 	if err != nil {
 		return nil, err
@@ -144,7 +150,15 @@
 }
 
 func (w *World) ask(i int, method, path string, body []byte, limit time.Duration, then func(status int, body []byte)) {
-	w.sim.exchange("", w.sim.nodes[i].s.Public, request{method: method, path: path, body: body}, limit, w.sim.severed(w.sim.nodes[i].s.Public, FromUsers), then)
+	sent := w.now()
+	a, ok := about(method, path, body)
+	w.wanted(a)
+	w.sim.exchange("", w.sim.nodes[i].s.Public, request{method: method, path: path, body: body}, limit, w.sim.severed(w.sim.nodes[i].s.Public, FromUsers), func(status int, raw []byte) {
+		if ok {
+			w.received(a, sent, status, raw)
+		}
+		then(status, raw)
+	})
 	if method == "POST" && (path == "/v2/runs" || strings.HasSuffix(path, "/abort")) {
 		w.mu.Lock()
 		w.copyLater("", path, body)
--- a/internal/world/troubles.go
+++ b/internal/world/troubles.go
@@ -25,6 +25,12 @@
 	return w.oneWay(n, zone, func(m *Machine) { m.muteTill = w.now() + d })
 }
 
+// Shut lets some machines reach no controller for a time: their connections fail, while direct commands reach them and are
+// answered.
+func (w *World) Shut(n int, zone string, d time.Duration) []string {
+	return w.oneWay(n, zone, func(m *Machine) { m.shutTill = w.now() + d })
+}
+
 func (w *World) oneWay(n int, zone string, set func(*Machine)) (names []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/world/troubles_test.go
+++ b/internal/world/troubles_test.go
@@ -582,7 +582,7 @@
 	var mistakes []*simUser
 	n := r.Controllers()
 	for at := 4 * time.Second; at < d; at += time.Duration(rng.IntN(5000)) * time.Millisecond {
-		i, what, long := rng.IntN(n), rng.IntN(20), time.Duration(500+rng.IntN(15000))*time.Millisecond
+		i, what, long := rng.IntN(n), rng.IntN(31), time.Duration(500+rng.IntN(15000))*time.Millisecond
 		zone, from, k := []string{"a", "b", "c"}[rng.IntN(3)], Counterpart(1+rng.IntN(31)), rng.IntN(6)
 		blink := time.Duration(50+rng.IntN(850)) * time.Millisecond
 		step := []string{"arriving", "clearing", "holding", "registering", "member", "campaigning", "leading"}[rng.IntN(7)]
@@ -651,6 +651,28 @@
 				r.KillMachine()
 			case 19:
 				r.Delay(long)
+			case 20:
+				r.Shut(1+k, "", long)
+			case 21:
+				r.Shut(99, zone, long)
+			case 22:
+				during(long, func(w *World, on bool) { w.LoseAnswers(map[bool]float64{true: 0.3}[on]) })(r.World)
+			case 23:
+				during(long, func(w *World, on bool) { w.LateWrites(map[bool]float64{true: 0.2}[on], 500*time.Millisecond, 5*time.Second) })(r.World)
+			case 24:
+				during(2*long, func(w *World, on bool) { w.KeepCopies(map[bool]float64{true: 0.3}[on]) })(r.World)
+			case 25:
+				during(long, (*World).CloseLooks)(r.World)
+			case 26:
+				during(long, (*World).OddRequests)(r.World)
+			case 27:
+				during(long, func(w *World, on bool) { w.CancelAtEnd(map[bool]float64{true: 0.4}[on]) })(r.World)
+			case 28:
+				r.CancelNow(1+k, long/2)
+			case 29:
+				r.FlipLeaders(2+k, long)
+			case 30:
+				during(long, func(w *World, on bool) { w.SlowState(0, map[bool]time.Duration{true: 900 * time.Millisecond}[on]) })(r.World)
 			}
 		})
 	}
@@ -679,11 +701,12 @@
 		r.Sever(i, 0)
 		r.StartController(i)
 	}
-	healed := r.Now()
+	healed, beside := r.Now(), r.Healed()
 	r.Advance(75 * time.Second)
 	gap, job := a.Longest(healed, r.Now())
 	r.users = append(r.users, mistakes...)
 	r.over()
+	r.beside, _ = beside()
 	return r, gap, job
 }
 
@@ -699,7 +722,7 @@
 		}
 	}
 	for _, u := range r.users {
-		if u.asked {
+		if u.asked || r.AskedToEnd(u.spec.ID) {
 			continue
 		}
 		kind := string(u.spec.Kind)
@@ -728,7 +751,7 @@
 	if os.Getenv("HAREWALK_LONG") != "" {
 		seeds = 200
 	}
-	ends, worst, least := map[string]int{}, time.Duration(0), map[string]float64{}
+	ends, worst, least, beside := map[string]int{}, time.Duration(0), map[string]float64{}, time.Duration(0)
 	var all Stats
 	for seed := range seeds {
 		r, gap, job := wild(t, uint64(600+seed), 90*time.Second)
@@ -749,14 +772,19 @@
 			}
 		}
 		s := r.Stats()
+		beside = max(beside, r.beside)
+		all.LostAnswers, all.LateWrites, all.Kept, all.CloseLooks, all.CalledOff, all.Odd, all.Refused = all.LostAnswers+s.LostAnswers, all.LateWrites+s.LateWrites, all.Kept+s.Kept,
+			all.CloseLooks+s.CloseLooks, all.CalledOff+s.CalledOff, all.Odd+s.Odd, all.Refused+s.Refused
+		all.AfterCancel, all.AfterCancelDirect, all.LatestAfterCancel = all.AfterCancel+s.AfterCancel, all.AfterCancelDirect+s.AfterCancelDirect, max(all.LatestAfterCancel, s.LatestAfterCancel)
+		all.LongestCancelled = max(all.LongestCancelled, s.LongestCancelled)
 		all.Starts, all.OneWay, all.Copies, all.Reborn, all.Severed, all.Kills, all.Freezes = all.Starts+s.Starts, all.OneWay+s.OneWay,
 			all.Copies+s.Copies, all.Reborn+s.Reborn, all.Severed+s.Severed, all.Kills+s.Kills, all.Freezes+s.Freezes
 		if t.Failed() {
 			t.Fatalf("seed %d", 600+seed)
 		}
 	}
-	t.Logf("%d seeds: %v, %+v; the longest gap without an answer %v; least shares that began within four minutes %v", seeds, ends, all, worst, least)
-	if all.OneWay == 0 || all.Copies == 0 || all.Reborn == 0 || all.Severed == 0 || all.Freezes == 0 {
+	t.Logf("%d seeds: %v, %+v; the longest gap without an answer %v, the longest wait beside room %v; least shares that began within four minutes %v", seeds, ends, all, worst, beside, least)
+	if all.LostAnswers == 0 || all.LateWrites == 0 || all.Kept == 0 || all.CloseLooks == 0 || all.CalledOff == 0 || all.Refused == 0 || all.OneWay == 0 || all.Copies == 0 || all.Reborn == 0 || all.Severed == 0 || all.Freezes == 0 {
 		t.Error("a kind of trouble never came")
 	}
 }
--- a/internal/world/users.go
+++ b/internal/world/users.go
@@ -164,7 +164,7 @@
 	if h.Final == "" && stance == "done" && !w.AllDone(h.ID, h.Tasks) {
 		w.Break("not_done: %s is called done", h.ID)
 	}
-	if stance == "cancelled" && !asked {
+	if stance == "cancelled" && !asked && !w.AskedToEnd(h.ID) {
 		w.Break("went_back: %s is called cancelled, and nobody asked for it", h.ID)
 	}
 	h.Final = stance
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -112,6 +112,8 @@
 	copied   copying
 	delays   delays
 	onTold   []func()
+	answers  answers
+	kept     []keptCopy // reports whose copies wait for the next leader
 
 	specs map[string]*jobs.Spec
 	told  map[string]time.Duration // cancelled
@@ -141,8 +143,18 @@
 	Vain int
 	// Again counts the tasks that began once more after they were done.
 	Again int
-	// LateWrites counts the transactions that got no answer and were carried out late.
-	LateWrites int
+	// LateWrites counts the transactions that got no answer and were carried out late, LostAnswers those carried out at once
+	// whose answer was lost.
+	LateWrites, LostAnswers int
+	// Kept counts copies of reports that were kept for a new leader and delivered as its term began, or once it had acted.
+	Kept int
+	// CloseLooks counts what users looked at closely, CalledOff jobs that they called off as they ran or ended, Odd their odd
+	// requests, and Refused those of them that were refused for good.
+	CloseLooks, CalledOff, Odd, Refused int
+	// AfterCancel counts the tasks that started after their user was told that the job is cancelled, AfterCancelDirect those of
+	// them that were launched by a direct command; LatestAfterCancel is how long after it the latest of them did.
+	AfterCancel, AfterCancelDirect int
+	LatestAfterCancel              time.Duration
 	// LongestCancelled is how long a task stayed on a machine at most after its user was told that it is cancelled.
 	LongestCancelled time.Duration
 }
@@ -164,6 +176,7 @@
 		mistaken: map[string]bool{}, told: map[string]time.Duration{}, tasks: map[string]*progress{}, notebooks: map[string]*Notebook{},
 		known: map[string]time.Duration{}, waits: map[string]time.Duration{}}
 	w.delays.rng = rand.New(rand.NewPCG(cfg.Seed, 17))
+	w.answers = answers{jobs: map[string]*told{}, asked: map[string]bool{}, looks: looks{rng: rand.New(rand.NewPCG(cfg.Seed, 19))}}
 	w.reqs, w.writes = bucket{rate: cfg.State.RPS}, bucket{rate: cfg.State.WriteRPS}
 	for k, raw := range cfg.Stored {
 		w.svc.Apply([]store.Op{{Put: k, Value: raw}})
