Intake: a job that fits no machine type is refused for good only after a read

Cause: machine types are learnt, by each controller in its time. One that was behind answered 422 to the repetition of a job that another had just accepted: forgotten, by the protocol. Change: that refusal is open, as with counts of licences: the record is read first. Limits and teams come from the settings and need no read.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -367,7 +367,11 @@
 		return no("the job needs more than the team's limit")
 	}
 	if !slices.ContainsFunc(c.types, func(t capacity.MachineType) bool { return fitsType(s, t) }) {
-		return no("a task fits no allowed machine type")
+		// Types are learnt, by each controller in its time: one that knew a new type had accepted a job that another,
+		// behind it, refused for good.
+		v := no("a task fits no allowed machine type")
+		v.Open = true
+		return v
 	}
 	return c.fitsPools(s.Licences, s.Team, n)
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -183,8 +183,8 @@
 		reply(refuse(503, v.Why))
 		return
 	case !v.OK && v.Open:
-		// A count of licences falls while this job's record is on its way here from the
-		// controller that took it: only a read tells a refusal from a repetition.
+		// A count of licences falls, or a machine type comes, while this job's record is on its way here
+		// from the controller that took it: only a read tells a refusal from a repetition.
 		if n.stateLost(now) || !n.Store.Room(0, store.Ordinary) {
 			reply(refuse(503, "the state service does not answer"))
 			return
--- a/internal/world/rest_test.go
+++ b/internal/world/rest_test.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/harewalk/harewalk/internal/config"
 	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/store"
 )
 
 // Those of the users' meetings that neither meetings_test.go nor seven_test.go brings about, in the same cluster.
@@ -340,3 +342,48 @@
 		}
 	}
 }
+
+// A machine type is new, and one controller hasn't heard of it yet: a job that fits no other is accepted by those that have, and that
+// one, asked the same within milliseconds, refuses it neither for good nor as unknown.
+func TestTypesLearntAtDifferentTimes(t *testing.T) {
+	r, _ := met(t, 329, 3, 6)
+	l := r.led()
+	behind := (l + 1) % 3
+	r.Stick(behind, true)
+	r.CloseLooks(true)
+	big := r.cfg.Types[0]
+	big.Name, big.CPUs = "g40", 160
+	r.mu.Lock()
+	r.cfg.Types = append(slices.Clone(r.cfg.Types), big)
+	raw, _ := json.Marshal(map[string]any{"builds": r.cfg.Types})
+	r.mu.Unlock()
+	r.Store(store.Op{Put: "h/c/types", Value: raw})
+	r.Advance(300 * time.Millisecond)
+	refused := 0
+	for k := range 12 {
+		s := &jobs.Spec{ID: fmt.Sprintf("req-3%05d", k), Class: "big", Team: "red", Kind: jobs.Array, Priority: "standard", Tasks: 1, CPUs: 100, Mem: 1, Image: "i", ImageGB: 1, EstimateS: 3, Spot: true}
+		r.Know(s)
+		body, _ := json.Marshal(s)
+		r.Ask(l, "POST", "/v2/runs", body, func(status int, _ []byte) {
+			if status != 201 {
+				t.Errorf("%s is answered %d", s.ID, status)
+			}
+		})
+		r.After(30*time.Millisecond, func() {
+			r.Ask(behind, "POST", "/v2/runs", body, func(status int, _ []byte) {
+				if status == 400 || status == 422 {
+					refused++
+				}
+			})
+		})
+		r.Advance(50 * time.Millisecond)
+	}
+	r.Stick(behind, false)
+	r.Advance(3 * time.Second)
+	if refused > 0 {
+		t.Errorf("%d accepted jobs were refused for good", refused)
+	}
+	for _, b := range r.Broken() {
+		t.Error(b)
+	}
+}
--- a/internal/world/troubles_test.go
+++ b/internal/world/troubles_test.go
@@ -658,7 +658,9 @@
 			case 22:
 				during(long, func(w *World, on bool) { w.LoseAnswers(map[bool]float64{true: 0.3}[on]) })(r.World)
 			case 23:
-				during(long, func(w *World, on bool) { w.LateWrites(map[bool]float64{true: 0.2}[on], 500*time.Millisecond, 5*time.Second) })(r.World)
+				during(long, func(w *World, on bool) {
+					w.LateWrites(map[bool]float64{true: 0.2}[on], 500*time.Millisecond, 5*time.Second)
+				})(r.World)
 			case 24:
 				during(2*long, func(w *World, on bool) { w.KeepCopies(map[bool]float64{true: 0.3}[on]) })(r.World)
 			case 25:
