--- a/internal/controller/zones.go
+++ b/internal/controller/zones.go
@@ -115,9 +115,9 @@
 		z := c.cap.Zones.Of(ix)
 		out[i] = ZoneView{Zone: n, State: z.State.String(), ForS: max(0, (now - z.Since).Seconds()), Flaps: z.Flaps, Rents: c.cap.Zones.Rents(ix), Takes: "all"}
 		switch {
-		case !c.cap.Zones.Takes(ix, zones.Together):
+		case !c.cap.Zones.Takes(now, ix, zones.Together):
 			out[i].Takes = "arrays"
-		case !c.cap.Zones.Takes(ix, zones.Lasting):
+		case !c.cap.Zones.Takes(now, ix, zones.Lasting):
 			out[i].Takes = "gangs"
 		}
 		by[ix] = &out[i]
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -45,6 +45,8 @@
 	// Patience is how long machines that are not heard are kept once their zone returns; Prove how long it must stay
 	// before it counts as well, doubled with each flap lately. Calm is how long makes up for one flap.
 	Patience, Prove, Calm time.Duration
+	// Most is how long a zone that is heard again is kept from any work, whatever its past; 0: for as long as that asks for.
+	Most time.Duration
 	// Turned is told of every change of state; nil for nobody.
 	Turned func(now time.Duration, zone int32, from, to State, c Count)
 }
@@ -60,6 +62,7 @@
 	State State
 	Since time.Duration // of the state
 	Out   time.Duration // when it was lost last
+	Back  time.Duration // when it was heard again last
 	Flaps int           // losses lately, beyond the first
 	calm  time.Duration // the last time that a flap was made up for
 	was   bool          // it was lost before
@@ -94,6 +97,8 @@
 			s.Flaps = min(mostFlaps, s.Flaps+1)
 		}
 		s.Out, s.was = now, true
+	case to == Returning:
+		s.Back = now
 	case to == Well && from == Proving:
 		s.calm = now
 	}
@@ -209,9 +214,13 @@
 )
 
 // Takes tells whether new work of a kind may go to machines of a zone that are heard: restartable work always, gangs and
-// then services as the zone proves itself. One that flaps gets no gangs before it is well.
-func (z *Zones) Takes(zone int32, w Work) bool {
+// then services as the zone proves itself. One that flaps gets no gangs before it is well, but not for longer than Most:
+// with four flaps behind it, room there would stand idle for three minutes beside gangs that can go nowhere else.
+func (z *Zones) Takes(now time.Duration, zone int32, w Work) bool {
 	s := z.Of(zone)
+	if (s.State == Returning || s.State == Proving) && z.cfg.Most > 0 && now-s.Back >= z.cfg.Most {
+		return true
+	}
 	switch w {
 	case Restartable:
 		return true
@@ -302,7 +311,7 @@
 	for _, s := range d.Zones {
 		for st := Well; st <= Proving; st++ {
 			if st.String() == s.State {
-				z.zones[index(s.Zone)] = &Zone{State: st, Since: steady(s.Since), Out: steady(s.Out), Flaps: min(max(0, s.Flaps), mostFlaps), was: s.Out > 0}
+				z.zones[index(s.Zone)] = &Zone{State: st, Since: steady(s.Since), Out: steady(s.Out), Back: steady(s.Since), Flaps: min(max(0, s.Flaps), mostFlaps), was: s.Out > 0}
 			}
 		}
 	}
--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -45,6 +45,7 @@
 	patience = 2
 	prove    = 1
 	calm     = 3
+	most     = 4
 	far      = 18 // longer than any limit
 )
 
@@ -60,7 +61,7 @@
 func step(n node, look int, without string) (node, string) {
 	l := looks[look]
 	now := 1000 * unit
-	cfg := Config{Patience: patience * unit, Prove: prove * unit, Calm: calm * unit}
+	cfg := Config{Patience: patience * unit, Prove: prove * unit, Calm: calm * unit, Most: most * unit}
 	others := l.others
 	switch without {
 	case "others are heard":
@@ -73,6 +74,8 @@
 		n.z.Flaps = 0
 	case "calm":
 		cfg.Calm = 0
+	case "most":
+		cfg.Most = 0
 	case "enough machines":
 		l.c.Machines, l.c.Quiet, l.c.Silent = l.c.Machines*4, l.c.Quiet*4, l.c.Silent*4
 	}
@@ -80,6 +83,7 @@
 	s := n.z
 	s.Since, s.calm = now-time.Duration(n.since)*unit, now-time.Duration(n.calm)*unit
 	s.Out = now - time.Duration(n.p.ago)*unit
+	s.Back = now - time.Duration(max(0, n.p.back)+1)*unit
 	z.zones[0] = &s
 	before := s.State
 	z.judge(now, 0, l.c, others)
@@ -110,12 +114,16 @@
 	if p.out && z.Rents(0) {
 		bad("machines are rented in it")
 	}
-	if p.out && z.Takes(0, Together) {
+	if p.out && z.Takes(now, 0, Together) {
 		bad("gangs are sent there")
 	}
 	if !lostNow && before == Well && got.State == Lost {
 		bad("it counts as lost, and silence is everywhere or of too few")
 	}
+	// No room idle for long beside work: whatever its past, it takes work soon after its return.
+	if !p.out && p.back >= most && !(z.Takes(now, 0, Together) && z.Takes(now, 0, Lasting)) && got.State != Doubted {
+		bad("it takes no work %d steps after its return", p.back)
+	}
 	// Whoever isn't heard yet has time after the zone's return.
 	if !p.out && p.back >= 0 && p.back < patience && !p.settled && !z.Keeps(now, 0, 0) {
 		bad("machines that are not heard yet are given back %d steps after its return", p.back)
@@ -145,7 +153,7 @@
 	out := node{z: got, p: p}
 	out.since = min(far, int((now-got.Since)/unit)+1)
 	out.calm = min(far, int((now-got.calm)/unit)+1)
-	out.z.Since, out.z.Out, out.z.calm = 0, 0, 0
+	out.z.Since, out.z.Out, out.z.Back, out.z.calm = 0, 0, 0, 0
 	return out, why
 }
 
@@ -176,7 +184,7 @@
 	if t.Logf("%d states: %q", n, why); why != "" || n < 500 {
 		t.Fatalf("%d states: %s", n, why)
 	}
-	for _, w := range []string{"others are heard", "patience", "proving", "flaps", "calm", "enough machines"} {
+	for _, w := range []string{"others are heard", "patience", "proving", "flaps", "calm", "most", "enough machines"} {
 		n, why := explore(w)
 		if t.Logf("without %q: after %d states, %s", w, n, why); why == "" {
 			t.Errorf("without %q nothing breaks", w)
