--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -373,7 +373,9 @@
 }
 
 // judgeZones looks which zones have fallen silent, and puts what isn't heard there aside: returning it would cost a
-// boot and all cached images, and what is planned there would wait for nobody. Silence counts from when we could hear.
+// boot and all cached images, and what is planned there would wait for nobody. So is a single machine, once it has been silent
+// for longer than one lost report explains: it may be cut off or reach nobody, and gangs were planned there until its lease
+// was over. Silence counts from when we could hear.
 func (c *Manager) judgeZones(now time.Duration) {
 	// Well before the first of them is given up, or many would be gone when it shows.
 	silent, quiet := config.Seconds(c.Settings.Operator.SilentS*0.6), c.QuietFor()
@@ -394,9 +396,10 @@
 		counts[m.Zone] = n
 	}
 	c.Zones.Judge(now, counts)
+	late := c.Fleet.HearWithin()
 	for _, m := range c.Fleet.Machines() {
-		if m.Condition == fleet.Acting && now-max(m.Heard, c.since) > quiet {
-			if st := c.Zones.Of(m.Zone).State; st == zones.Lost || st == zones.Returning {
+		if q := now - max(m.Heard, c.since); m.Condition == fleet.Acting && q > quiet {
+			if st := c.Zones.Of(m.Zone).State; st == zones.Lost || st == zones.Returning || q > late {
 				c.Fleet.SetAside(m)
 			}
 		}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -337,6 +337,33 @@
 	}
 }
 
+// A machine that isn't heard for longer than one lost report explains gets nothing new, long before its lease is over; its next
+// report ends that.
+func TestSilentMachineIsSetAside(t *testing.T) {
+	b := setup(t)
+	b.Settings.Operator.IdleS = 1e6
+	seq := uint64(0)
+	for step := range 11 {
+		for i := range 20 {
+			if seq++; i != 3 || step == 0 {
+				b.Fleet.Report(b.cloud.now, &fleet.Report{Machine: fmt.Sprintf("i-%d", i), Addr: "x", Type: "m", Zone: "ab"[i%2 : i%2+1], Session: 1, Seq: seq, Token: 1 << 20})
+			}
+		}
+		b.cloud.now += time.Second
+		b.judge(b.cloud.now, true)
+		for i := range 20 {
+			m := b.Fleet.Find(fmt.Sprintf("i-%d", i))
+			if m.Aside != (i == 3 && step >= 9) || m.Condition != fleet.Acting {
+				t.Fatalf("after %d s %s is %v, set aside: %v", step+1, m.Name, m.Condition, m.Aside)
+			}
+		}
+	}
+	b.Fleet.Report(b.cloud.now, &fleet.Report{Machine: "i-3", Addr: "x", Type: "m", Zone: "b", Session: 1, Seq: seq + 1, Token: 1 << 20})
+	if b.Fleet.Find("i-3").Aside {
+		t.Error("it is heard again and still set aside")
+	}
+}
+
 // While a controller has no authority it hears nobody, and that is no machine's silence: after
 // an outage of the state service of 8 s all zones at once once counted as cut off.
 func TestSilenceCountsFromAuthority(t *testing.T) {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -208,7 +208,9 @@
 	}
 	for name, ok := range map[string]func(*Settings) bool{
 		"rollout.hcl": func(s *Settings) bool { return !s.Rollout().Auto && s.Rollout().Soak == 10*time.Minute },
-		"zones.hcl":   func(s *Settings) bool { return s.Zones() == Zones{time.Minute, 20 * time.Second, 10 * time.Minute, mostHeld} },
+		"zones.hcl": func(s *Settings) bool {
+			return s.Zones() == Zones{time.Minute, 20 * time.Second, 10 * time.Minute, mostHeld}
+		},
 	} {
 		s, err := Load(js, filepath.Join("..", "..", "deploy", name))
 		if err != nil || !ok(s) {
--- a/internal/fleet/hearing.go
+++ b/internal/fleet/hearing.go
@@ -35,9 +35,9 @@
 	restarted bool // that it has is certain, and nobody has been told the token that was raised for it yet
 }
 
-// hearWithin is by when the effect of an answer must have shown: a worker that lost one answer waits for it, tries
+// HearWithin is by when the effect of an answer must have shown: a worker that lost one answer waits for it, tries
 // another controller, is sent back, and reports once more.
-func (f *Fleet) hearWithin() time.Duration {
+func (f *Fleet) HearWithin() time.Duration {
 	return answerWait + retryWait + config.Seconds(1.25*f.Settings.Params.Workers.ReportS) + 500*time.Millisecond
 }
 
@@ -54,7 +54,7 @@
 		h.since, h.witness = 0, Command{}
 		return true
 	}
-	if now-h.since > f.hearWithin() {
+	if now-h.since > f.HearWithin() {
 		f.deafen(now, m, "commands have no effect")
 	}
 	return m.Condition != Deaf
@@ -140,7 +140,7 @@
 
 // deafIfUnseen sets a machine aside that was sent a token for longer than its showing can take.
 func (f *Fleet) deafIfUnseen(now time.Duration, m *Machine, r *Report) {
-	if r.Token < m.Token && m.hearing.since > 0 && now-m.hearing.since > f.hearWithin() {
+	if r.Token < m.Token && m.hearing.since > 0 && now-m.hearing.since > f.HearWithin() {
 		f.deafen(now, m, "it has not seen our token")
 	}
 }
--- a/internal/fleet/hearing_test.go
+++ b/internal/fleet/hearing_test.go
@@ -410,13 +410,13 @@
 	g.submit(spec(1, 8))
 	g.settle(store.Committed)
 	given, from := 0, g.now
-	for g.now-from < 3*g.hearWithin() {
+	for g.now-from < 3*g.HearWithin() {
 		g.now += 500 * time.Millisecond
-		if cs := g.hear("m", 1, 2*fenced); g.now-from > 2*g.hearWithin() {
+		if cs := g.hear("m", 1, 2*fenced); g.now-from > 2*g.HearWithin() {
 			given += len(cs)
 		}
 	}
-	if m.Condition != Deaf || given > 0 || m.Planned > 0 || g.now-m.Heard < g.hearWithin() {
+	if m.Condition != Deaf || given > 0 || m.Planned > 0 || g.now-m.Heard < g.HearWithin() {
 		t.Errorf("%v, %d commands given to it lately, %d tasks planned on it, heard %v ago", m.Condition, given, m.Planned, g.now-m.Heard)
 	}
 	if g.hear("m", 1, m.Token); m.Condition != Acting {
