Intake: the answer to a submission is the newest that is known when it goes out

Cause: 201 pending was built from what was true when the transaction ran. Where its answer came late, its user may have been told by another controller that the job is cancelled. Change: a record that is final here by then is told as it is. TestNewestGoesOut, before: 201 pending after cancelled; after: 200 cancelled.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -277,6 +277,12 @@
 		switch r.Outcome {
 		case store.Committed:
 			n.Learned(now, store.Item{Key: key, Value: s.raw, Version: r.Revision})
+			// Others may have read the record, and users cancelled the job, before this answer came: the newest that is
+			// known goes out.
+			if j := n.Book.Get(s.spec.ID); j != nil && j.Stance.Terminal() {
+				s.reply(n.show(j, false))
+				continue
+			}
 			s.reply(Reply{Status: 201, Body: view{ID: s.spec.ID, Stance: "pending"}})
 		case store.Conflict:
 			if failed[key] {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -24,8 +24,9 @@
 type desk struct {
 	*Intake
 	svc   *state.Service
-	lose  bool // answers are lost after the request was carried out
-	drop  bool // requests are lost
+	lose  bool   // answers are lost after the request was carried out
+	drop  bool   // requests are lost
+	late  func() // what happens once the next request was carried out, before its answer comes
 	queue []func()
 }
 
@@ -39,6 +40,10 @@
 		if d.lose && r.Path == "/txn" {
 			res = httpio.Response{Err: httpio.ErrBusy}
 		}
+		if f := d.late; f != nil {
+			d.late = nil
+			f()
+		}
 		done(res)
 	})
 }
@@ -151,6 +156,23 @@
 	}
 }
 
+// Between a submission's being stored and its answer others have read it, and its user has cancelled it through them: the newest
+// that is known here goes out.
+func TestNewestGoesOut(t *testing.T) {
+	svc := state.New()
+	a, b := newDesk(svc), newDesk(svc)
+	a.late = func() {
+		if r := b.abort(t, "req-000001"); stance(r) != "cancelled" {
+			t.Fatalf("abort elsewhere: %+v", r)
+		}
+		it := svc.Keys[jobs.RecordKey("req-000001")]
+		a.Learned(svc.Now, store.Item{Key: it.Key, Value: it.Value, Version: it.Version}) // it is followed
+	}
+	if r := a.submit(t, job(1)); r.Status != 200 || stance(r) != "cancelled" {
+		t.Errorf("its submission is answered %+v", r)
+	}
+}
+
 // What a leader can't keep in memory, or the state service can't store, is refused at once:
 // twenty arrays of the largest size would have ended every leader one after the other.
 func TestSizesAreBounded(t *testing.T) {
