Fleet: room that is held for some work is kept from other work for a bounded time only

Cause: claims of gangs that wait for more room, and cores kept beside accelerators, had no bound. Both may wait for what never comes: a gang larger than its zone, accelerators that nobody gives back. Arrays that wait so are moved to room that only others held up themselves are planned for. TestGuestsBeginBesideAccelerators showed that guests don't begin without begin_s; they do now by the new bound, so its control takes out both, and a third case asks for 90 s.

--- a/internal/fleet/floor_test.go
+++ b/internal/fleet/floor_test.go
@@ -145,9 +145,13 @@
 
 // Guests without accelerators on machines that all have them, for which other work always waits: no lane was left for them.
 func TestGuestsBeginBesideAccelerators(t *testing.T) {
-	for _, beginS := range []float64{240, 0} {
+	// Either what is overdue to begin goes first, or nothing is held from what has waited for long; without both they never begin.
+	for _, c := range []struct {
+		beginS float64
+		ages   bool
+	}{{240, false}, {0, true}, {0, false}} {
 		g := mixed(t)
-		g.Settings.Operator.BeginS = beginS
+		g.Settings.Operator.BeginS = c.beginS
 		on := map[string][]TaskReport{}
 		g.see("g1", "gpu", false)
 		for n, cpus := range []float64{5, 6} { // the larger ones wait for ever, and leave nothing beside them
@@ -162,11 +166,18 @@
 		j := g.submit(guest)
 		for range 160 {
 			g.now += time.Second
+			if !c.ages {
+				j.Off = g.now
+			}
 			g.runAll("g1", "gpu", on)
 			g.settleFor(3, store.Committed)
+			if c.ages && !j.Started && g.now-j.At > 90*time.Second {
+				t.Errorf("%+v: the guests haven't begun after 90 s", c)
+				break
+			}
 		}
-		if began := j.Started; began != (beginS > 0) {
-			t.Errorf("begin_s %v: the guests began: %v", beginS, began)
+		if began := j.Started; began != (c.beginS > 0 || c.ages) {
+			t.Errorf("%+v: the guests began: %v", c, began)
 		}
 	}
 }
--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -34,6 +34,7 @@
 	zone  int32
 	spot  bool
 	types string
+	aged  bool // no room is kept from them any more
 }
 
 // field lists the machines that may take tasks of a shape, best first, as they were when
@@ -61,7 +62,7 @@
 	for _, t := range j.Types {
 		types = binary.LittleEndian.AppendUint32(types, uint32(t))
 	}
-	return shape{j.Spec.Size(), j.Image, j.Zone, j.Spec.Spot, string(types)}
+	return shape{size: j.Spec.Size(), image: j.Image, zone: j.Zone, spot: j.Spec.Spot, types: string(types)}
 }
 
 // field finds or makes the list of machines for a job. Jobs that must keep off some
@@ -69,6 +70,7 @@
 func (f *Fleet) field(now time.Duration, j *jobs.Job) *field {
 	common := len(j.Avoid) == 0 && j.On() == 0
 	key := shapeOf(j)
+	key.aged = f.aged(j)
 	if fd := f.pass.fields[key]; common && fd != nil {
 		return fd
 	}
@@ -135,7 +137,7 @@
 // freeIn estimates when a machine will have room for a task of a job.
 func (f *Fleet) freeIn(now time.Duration, m *Machine, j *jobs.Job) float64 {
 	free := m.Free()
-	if m.claimRank < f.rankOf(j) {
+	if f.claimed(m, j) {
 		free = free.Sub(m.claim)
 	}
 	size := j.Spec.Size()
@@ -152,7 +154,7 @@
 // before it, nor what gangs planned there will take.
 func (f *Fleet) room(m *Machine, j *jobs.Job) planner.Size {
 	free := m.Free().Sub(m.whole)
-	if m.claimRank < f.rankOf(j) {
+	if f.claimed(m, j) {
 		free = free.Sub(m.claim)
 	}
 	return free
@@ -196,7 +198,7 @@
 		return
 	}
 	v := f.verdicts[j.Index]
-	v.held, v.overdue = f.claim(j, fd, zone), f.overdue(now, j)
+	v.held, v.overdue = f.claim(j, fd, zone, f.firm(now, j)), f.overdue(now, j)
 	f.note(j, v)
 }
 
@@ -248,12 +250,12 @@
 }
 
 // claim keeps what frees up first for a gang, and tells on how many machines.
-func (f *Fleet) claim(j *jobs.Job, fd *field, zone int32) (n int) {
+func (f *Fleet) claim(j *jobs.Job, fd *field, zone int32, firm bool) (n int) {
 	i := fd.claimed[zone]
 	for ; i < len(fd.ps) && n < j.N; i++ {
 		m := fd.ps[i].m
 		if (zone == jobs.None || m.Zone == zone) && (m.claimRank > f.rankOf(j) || m.claim == (planner.Size{})) {
-			m.claim, m.claimRank = j.Spec.Size(), f.rankOf(j)
+			m.claim, m.claimRank, m.claimFirm = j.Spec.Size(), f.rankOf(j), firm
 			n++
 		}
 		f.Steps++
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -110,6 +110,7 @@
 	spared    bool // cores beside its accelerators are left for work that waits for those
 	claim     planner.Size
 	claimRank int
+	claimFirm bool // it holds against jobs that have waited for long too
 
 	failed []jobs.Index // different jobs that failed here since one was done
 	slow   float64      // run time against what was expected, smoothed; 1 is normal
--- a/internal/fleet/pass.go
+++ b/internal/fleet/pass.go
@@ -112,7 +112,7 @@
 		f.Rank(now)
 	}
 	for _, m := range f.machines {
-		m.claim, m.claimRank = planner.Size{}, 1<<30
+		m.claim, m.claimRank, m.claimFirm = planner.Size{}, 1<<30, false
 	}
 	for _, j := range f.order {
 		f.pass.lowest = min(f.pass.lowest, j.Level)
--- a/internal/fleet/preempt.go
+++ b/internal/fleet/preempt.go
@@ -182,7 +182,7 @@
 	f.pleaded[j.Index] = now
 	for _, s := range best {
 		f.stop(now, s.m, j, s.stop)
-		s.m.claim, s.m.claimRank = j.Spec.Size(), f.rankOf(j)
+		s.m.claim, s.m.claimRank, s.m.claimFirm = j.Spec.Size(), f.rankOf(j), false
 	}
 	return true
 }
@@ -202,7 +202,7 @@
 		if refs, _, ok := f.victims(now, m, j); ok {
 			f.stop(now, m, j, refs)
 			if m.claim == (planner.Size{}) {
-				m.claim, m.claimRank = j.Spec.Size(), f.rankOf(j)
+				m.claim, m.claimRank, m.claimFirm = j.Spec.Size(), f.rankOf(j), false
 			}
 		}
 	}
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -19,7 +19,7 @@
 // A job that ranks before all such work, or is overdue to begin, nil for none, leaves nothing: it would stop that work for room which was then kept
 // for the same work, again and again.
 func (f *Fleet) keeps(m *Machine, j *jobs.Job, idle float64) planner.Size {
-	if m.Size.GPUs == 0 || f.perGPU == (planner.Size{}) || j != nil && (j.Spec.GPUs > 0 || f.first[j.Index] || f.goesBefore(j)) {
+	if m.Size.GPUs == 0 || f.perGPU == (planner.Size{}) || j != nil && (j.Spec.GPUs > 0 || f.first[j.Index] || f.goesBefore(j) || f.aged(j)) {
 		return planner.Size{}
 	}
 	// What such work may stop anyway need only be kept from as much as waits and may come.
@@ -53,7 +53,7 @@
 func (f *Fleet) fits(m *Machine, j *jobs.Job) bool {
 	s := j.Spec.Size()
 	free := m.Free()
-	if m.claimRank < f.rankOf(j) {
+	if f.claimed(m, j) {
 		free = free.Sub(m.claim)
 	}
 	free = free.Sub(f.keeps(m, j, m.Size.GPUs-m.Use.GPUs))
--- a/internal/fleet/steal.go
+++ b/internal/fleet/steal.go
@@ -41,10 +41,12 @@
 func (f *Fleet) steal(now time.Duration) {
 	least := planner.Size{CPUs: math.Inf(1), GPUs: math.Inf(1), Mem: math.Inf(1)}
 	var waiting []*jobs.Job
+	anyAged := false
 	for _, j := range f.order {
 		if j.Spec.Kind == jobs.Array && j.In[jobs.Planned] > 0 && f.mayStart(j, 1) {
 			waiting = append(waiting, j)
 			least = least.Min(j.Spec.Size())
+			anyAged = anyAged || f.aged(j)
 		}
 	}
 	if len(waiting) == 0 {
@@ -52,7 +54,7 @@
 	}
 	var idle []*Machine
 	for _, m := range f.packed() {
-		if least.Fits(m.Free().Sub(m.need)) {
+		if least.Fits(m.Free().Sub(m.need)) || anyAged && least.Fits(m.Free().Sub(m.whole)) {
 			idle = append(idle, m)
 		}
 	}
@@ -62,7 +64,7 @@
 		size := j.Spec.Size()
 		for _, m := range idle {
 			f.Steps++
-			if !size.Fits(m.Free().Sub(m.need)) || !f.fits(m, j) || !f.allowed(m, j) {
+			if !size.Fits(f.unneeded(m, j)) || !f.fits(m, j) || !f.allowed(m, j) {
 				continue
 			}
 			if ds == nil {
@@ -113,7 +115,7 @@
 	size := j.Spec.Size()
 	sooner := f.fetchS(j, m) + 0.5 + f.yields(m, j)
 	for range 64 {
-		if len(*ds) == 0 || (*ds)[0].wait <= sooner || !size.Fits(m.Free().Sub(m.need)) || !f.fits(m, j) {
+		if len(*ds) == 0 || (*ds)[0].wait <= sooner || !size.Fits(f.unneeded(m, j)) || !f.fits(m, j) {
 			return
 		}
 		v := (*ds)[0].m
--- /dev/null
+++ b/internal/world/beside_test.go
@@ -0,0 +1,83 @@
+package world
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/capacity"
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/jobs"
+)
+
+// What keeps room, each for itself and all together, keeps it for less than 90 s beside work that fits: gangs that can't begin yet,
+// or never, accelerators that others wait for, a zone that came back, machines on which tasks failed.
+func TestNoRoomIdleBesideWork(t *testing.T) {
+	zones := []string{"a", "b", "c"}
+	type put func(n int, change func(s *jobs.Spec))
+	for what, c := range map[string]struct {
+		machines int
+		begin    func(r *rolling, give put)
+	}{
+		// A gang that needs more machines of one zone than there will ever be.
+		"never in one zone": {15, func(r *rolling, give put) {
+			give(1, func(s *jobs.Spec) {
+				s.Kind, s.Tasks, s.CPUs, s.OneZone, s.Priority, s.Class = jobs.Gang, 12, 12, true, "urgent", "gang"
+			})
+		}},
+		// Large gangs, one after the other, that begin whenever enough is free.
+		"one after the other": {12, func(r *rolling, give put) {
+			for k := range 8 {
+				r.After(time.Duration(40*k)*time.Second, func() {
+					give(10+k, func(s *jobs.Spec) {
+						s.Kind, s.Tasks, s.CPUs, s.Priority, s.Class, s.EstimateS = jobs.Gang, 9, 12, "urgent", "gang", 30
+					})
+				})
+			}
+		}},
+		// Work for accelerators that can't begin: its type has none left in its only zone.
+		"accelerators": {12, func(r *rolling, give put) {
+			for k := range 6 {
+				give(20+k, func(s *jobs.Spec) {
+					s.Kind, s.Tasks, s.CPUs, s.GPUs, s.OneZone, s.Class = jobs.Gang, 9, 4, 4, true, "gang"
+				})
+			}
+		}},
+		"a zone flaps": {12, func(r *rolling, give put) { flapZone(9*time.Second, 0, "b")(r.World) }},
+	} {
+		for _, kind := range []jobs.Kind{jobs.Array, jobs.Gang} {
+			t.Run(fmt.Sprint(what, " ", kind), func(t *testing.T) {
+				t.Parallel()
+				types := []capacity.MachineType{{Name: "g4", CPUs: 16, GPUs: 4, Mem: 128, CacheGB: 100, FetchGB: 10, Price: 4, Spot: 1.5, BootS: 3, Zones: zones}}
+				w, err := Simulated(Config{Seed: 341, Machines: c.machines, Types: types, Controllers: 3, Zones: zones, Step: 50 * time.Millisecond, Workers: tight, Uneven: true,
+					State: config.State{RPS: 400, WriteRPS: 60, ValueKB: 8, TxnOps: 24}, Teams: []config.Team{{Name: "red"}, {Name: "blue"}}}, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				r := &rolling{World: w, t: t, rng: rand.New(rand.NewPCG(341, 43))}
+				r.watch()
+				give := func(n int, change func(s *jobs.Spec)) {
+					s := &jobs.Spec{ID: fmt.Sprintf("req-2%05d", n), Class: "small", Team: []string{"red", "blue"}[n%2], Kind: kind, Priority: "standard", Tasks: 1, CPUs: 6, Mem: 1,
+						Image: "i", ImageGB: 1, EstimateS: 50, Spot: true}
+					change(s)
+					(&simUser{w: r.World, rng: r.rng, spec: s}).submit()
+				}
+				r.Advance(5 * time.Second)
+				for k := range 260 { // about as much as there is room for
+					r.After(time.Duration(k)*2*time.Second, func() { give(1000+k, func(*jobs.Spec) {}) })
+				}
+				r.Advance(20 * time.Second)
+				c.begin(r, give)
+				r.Advance(90 * time.Second)
+				beside := r.Healed()
+				r.Advance(380 * time.Second)
+				longest, job := beside()
+				t.Logf("%s waited %v beside room", job, longest)
+				for _, b := range r.Broken() {
+					t.Error(b)
+				}
+			})
+		}
+	}
+}
