Fleet: what has waited long is put off by no better choice either

Cause: an array's task was moved only to room that nothing else was planned for, though what was planned there could not start; ordinary machines were put off for expected waits that never came true; a gang of one waited for a busy machine that has its image. Change: a job of which nothing has been on a machine for 50 s takes room that is there.

--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -212,6 +212,14 @@
 				return true
 			}
 		}
+		if f.aged(j) { // that a busy machine is free soon hasn't come true for long
+			for _, i := range fd.open {
+				if m := fd.ps[i].m; size.Fits(f.room(m, j)) {
+					f.plan(now, j, 0, m)
+					return true
+				}
+			}
+		}
 		return false // a busy machine that has the image is the better choice
 	}
 	hosts := make([]planner.Host, 0, len(fd.open))
--- a/internal/fleet/held.go
+++ b/internal/fleet/held.go
@@ -9,9 +9,10 @@
 	"github.com/harewalk/harewalk/internal/planner"
 )
 
-// What keeps room idle: the claim of a gang that waits for more of it, and cores beside accelerators that such work is to come
-// for. Neither is for ever, since both may wait for what never comes: a gang larger than its zone, accelerators that nobody
-// gives back. A job of which nothing has been on a machine for agedAfter lets neither hold it up: it is backfilled. Only the claims of
+// What keeps room idle: the claim of a gang that waits for more of it, cores beside accelerators that such work is to come
+// for, ordinary machines that others need, and the better choice of a busy machine that is free soon. All may wait for what never comes: a gang
+// larger than its zone, accelerators that nobody gives back, an estimate that doesn't come true. A job of which nothing has
+// been on a machine for agedAfter lets none of them hold it up: it is backfilled. Only the claims of
 // gangs that are overdue themselves go on against it, for firmFor at a time and then not for as long again; without that
 // a constant stream of such jobs would take what frees up from every large gang. Together they stay well under the 90 s for which
 // a job may wait beside room.
@@ -50,7 +51,8 @@
 	free := m.Free().Sub(m.whole)
 	for _, l := range m.lanes {
 		if o := f.job(l.job); o.Spec.Kind == jobs.Array && f.aged(o) {
-			free = free.Sub(o.Spec.Size().Times(float64(len(l.tasks))))
+			size := o.Spec.Size() // what has no room there now takes none either
+			free = free.Sub(size.Times(float64(min(len(l.tasks), max(0, size.Copies(free))))))
 		}
 	}
 	f.Steps += uint64(len(m.lanes))
--- a/internal/fleet/steal.go
+++ b/internal/fleet/steal.go
@@ -114,6 +114,9 @@
 func (f *Fleet) stealFor(now time.Duration, m *Machine, j *jobs.Job, ds *delays) {
 	size := j.Spec.Size()
 	sooner := f.fetchS(j, m) + 0.5 + f.yields(m, j)
+	if f.aged(j) {
+		sooner = 0 // what was expected of its lane hasn't come true for long
+	}
 	for range 64 {
 		if len(*ds) == 0 || (*ds)[0].wait <= sooner || !size.Fits(f.unneeded(m, j)) || !f.fits(m, j) {
 			return
--- a/internal/world/beside_test.go
+++ b/internal/world/beside_test.go
@@ -44,6 +44,24 @@
 				})
 			}
 		}},
+		// Ordinary machines, which some jobs need and those that may use spot ones put off, with estimates that are far too low.
+		"ordinary ones": {12, func(r *rolling, give put) {
+			for k := range 60 {
+				r.After(time.Duration(8*k)*time.Second, func() {
+					give(40+k, func(s *jobs.Spec) { s.Spot, s.CPUs, s.EstimateS, s.Class = false, 9, 12, "ordinary" })
+				})
+			}
+		}},
+		// Images that not every machine has, large ones: a machine that is busy and has it is the better choice, for how long?
+		"images": {12, func(r *rolling, give put) {
+			for k := range 100 {
+				r.After(time.Duration(4*k)*time.Second, func() {
+					give(400+k, func(s *jobs.Spec) {
+						s.Image, s.ImageGB, s.CPUs, s.EstimateS, s.Class = fmt.Sprint("big", k%4), 60, 10, 15, "imaged"
+					})
+				})
+			}
+		}},
 		"a zone flaps": {12, func(r *rolling, give put) { flapZone(9*time.Second, 0, "b")(r.World) }},
 	} {
 		for _, kind := range []jobs.Kind{jobs.Array, jobs.Gang} {
