--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -40,7 +40,7 @@
 // yields is by how many seconds a job that may use spot machines puts off an ordinary one
 // which live jobs that may not use spot could need: they have no other.
 func (f *Fleet) yields(m *Machine, j *jobs.Job) float64 {
-	if m.Spot || !j.Spec.Spot || !f.ordinary[m.Type] || f.aged(j) {
+	if m.Spot || !j.Spec.Spot || !f.ordinary[m.Type] {
 		return 0
 	}
 	if j.Spec.Kind == jobs.Array {
