Fleet: what counts is how long a job stands beside room, not how long it waits

Cause: the bound before counted the time waited. Change: a job's clock runs while there is room for it whatever that is held for, and its team is under its limit. After 40 s nothing holds against it but claims of gangs that are overdue to begin, after 75 s nothing.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -119,7 +119,7 @@
 	verdicts  map[jobs.Index]verdict        // what planning last decided about what is unplanned
 	grants    map[jobs.Index]licences.Grant // of jobs that need licences, by the last pass
 	news      bool                          // a plan became durable since the last push
-	firmAt    time.Duration                 // when claims of overdue gangs began to hold against everybody last
+	besideAt  time.Duration                 // no look at who stands beside room before
 	barren    map[jobs.Index]time.Duration  // arrays for which no machine was found, until when
 
 	// hints are the caches that the owner before inferred, until their machines are heard.
@@ -465,9 +465,6 @@
 	f.Gate.Give(now, seatRef(j, t), claimOf(j), how)
 	j.ZoneUse[m.Zone]--
 	f.must(j.Set(t, to))
-	if j.On() == 0 {
-		j.Off = now
-	}
 	if to == jobs.Planned {
 		k.Machine = m.Index
 		j.Enter(t, jobs.NoPhase)
--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -198,7 +198,8 @@
 		return
 	}
 	v := f.verdicts[j.Index]
-	v.held, v.overdue = f.claim(j, fd, zone, f.firm(now, j)), f.overdue(now, j)
+	v.overdue = f.overdue(now, j)
+	v.held = f.claim(j, fd, zone, v.overdue)
 	f.note(j, v)
 }
 
--- a/internal/fleet/held.go
+++ b/internal/fleet/held.go
@@ -11,35 +11,95 @@
 
 // What keeps room idle: the claim of a gang that waits for more of it, cores beside accelerators that such work is to come
 // for, ordinary machines that others need, and the better choice of a busy machine that is free soon. All may wait for what never comes: a gang
-// larger than its zone, accelerators that nobody gives back, an estimate that doesn't come true. A job of which nothing has
-// been on a machine for agedAfter lets none of them hold it up: it is backfilled. Only the claims of
-// gangs that are overdue themselves go on against it, for firmFor at a time and then not for as long again; without that
-// a constant stream of such jobs would take what frees up from every large gang. Together they stay well under the 90 s for which
-// a job may wait beside room.
+// larger than its zone, accelerators that nobody gives back, an estimate that doesn't come true. A job that has stood beside room
+// that fits for agedAfter lets none of them hold it up: it is backfilled. Only the claims of gangs that are overdue to
+// begin themselves hold against it, until firmAfter, which stays under the 90 s for which a job may wait so. What counts is the time
+// beside room, not the time waited: in an overload everybody waits, and what had waited for long once took all that came free from
+// large gangs (they began after 873 s instead of 235).
 const (
-	agedAfter = 50 * time.Second
-	firmFor   = 35 * time.Second
+	agedAfter = 40 * time.Second
+	firmAfter = 75 * time.Second
 )
 
-// aged tells whether a job has waited for so long with nothing of it on a machine that no room is kept from it any more.
-func (f *Fleet) aged(j *jobs.Job) bool {
-	return j != nil && j.On() == 0 && f.Now()-max(j.At, j.Off) > agedAfter && f.mistaken(j) == nil
+// standBeside notes, for each waiting job, since when there has been room for it: machines that it may use with as much
+// free as it needs to begin, whatever that is held for, and its team under its limit.
+func (f *Fleet) standBeside(now time.Duration) {
+	if now < f.besideAt {
+		return
+	}
+	f.besideAt = now + time.Second
+	type ask struct {
+		shape
+		n       int
+		oneZone bool
+	}
+	known := map[ask]bool{}
+	for _, j := range f.order {
+		n := 1
+		if j.Spec.Kind == jobs.Gang {
+			n = j.N
+		}
+		if j.On() > 0 || j.Left() == 0 || j.Idle() || f.mistaken(j) != nil || !f.mayStart(j, n) {
+			j.Beside = 0
+			continue
+		}
+		k := ask{shapeOf(j), n, j.Spec.OneZone}
+		k.image = 0 // any machine may fetch it
+		room, ok := known[k]
+		if !ok || len(j.Avoid) > 0 {
+			room = f.roomFor(j, n)
+		}
+		if len(j.Avoid) == 0 {
+			known[k] = room
+		}
+		switch {
+		case !room:
+			j.Beside = 0
+		case j.Beside == 0:
+			j.Beside = now
+		}
+	}
 }
 
-// claimed is what of a machine's room is claimed by those that rank before a job, as far as that holds against it.
-func (f *Fleet) claimed(m *Machine, j *jobs.Job) (held bool) {
-	return m.claimRank < f.rankOf(j) && (m.claimFirm || !f.aged(j))
+// roomFor tells whether there is room for n tasks of a job.
+func (f *Fleet) roomFor(j *jobs.Job, n int) bool {
+	size, in := j.Spec.Size(), map[int32]int{}
+	for _, m := range f.machines {
+		f.Steps++
+		if m.Condition != Acting || m.Retiring || m.Aside || !size.Fits(m.Free()) || !f.allowed(m, j) || !f.takes(m, j) {
+			continue
+		}
+		zone := jobs.None
+		if j.Spec.OneZone {
+			zone = m.Zone
+		}
+		if in[zone] += size.Copies(m.Free()); in[zone] >= n {
+			return true
+		}
+	}
+	return false
 }
 
-// firm tells whether the claims of a gang hold against jobs that have waited for long as well.
-func (f *Fleet) firm(now time.Duration, j *jobs.Job) bool {
-	if !f.overdue(now, j) {
+// waited is for how long a job has stood beside room.
+func (f *Fleet) waited(j *jobs.Job) time.Duration {
+	if j == nil || j.Beside == 0 || j.On() > 0 {
+		return 0
+	}
+	return f.Now() - j.Beside
+}
+
+// aged tells whether a job has stood beside room for so long that none is kept from it any more, but by firm claims.
+func (f *Fleet) aged(j *jobs.Job) bool { return f.waited(j) > agedAfter }
+
+// claimed tells whether the claim on a machine holds against a job.
+func (f *Fleet) claimed(m *Machine, j *jobs.Job) bool {
+	if m.claimRank >= f.rankOf(j) {
 		return false
 	}
-	if f.firmAt == 0 || now-f.firmAt >= 2*firmFor {
-		f.firmAt = now
+	if m.claimFirm {
+		return f.waited(j) <= firmAfter
 	}
-	return now-f.firmAt < firmFor
+	return !f.aged(j)
 }
 
 // unneeded is what of a machine's room what is planned there leaves for a job that would be moved there. What is planned may be
--- a/internal/fleet/pass.go
+++ b/internal/fleet/pass.go
@@ -119,6 +119,7 @@
 	}
 	f.allot(now)
 	f.share()
+	f.standBeside(now)
 	f.Steps += uint64(len(f.machines) + 2*len(f.order))
 	for _, j := range f.order {
 		if j.DoneN == j.N || j.Idle() {
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -22,7 +22,7 @@
 	Version uint64 // of the record
 	N       int
 	At      time.Duration // submission, on this controller's steady clock
-	Off     time.Duration // since when nothing of it is on a machine, if something was in this term
+	Beside  time.Duration // since when nothing of it is on a machine though there is room, as its planner sees it; 0: that isn't so
 
 	Tasks  []Task
 	Chunks []*Chunk
@@ -262,7 +262,7 @@
 	for _, j := range b.jobs {
 		j.Runs = 0
 		j.Parked, j.Sealed = false, b.Unread(j.ID)
-		j.Tasks, j.Chunks, j.Closing, j.Started, j.GangDone, j.Attempt, j.Off = nil, nil, false, false, false, 0, 0
+		j.Tasks, j.Chunks, j.Closing, j.Started, j.GangDone, j.Attempt, j.Beside = nil, nil, false, false, false, 0, 0
 		clear(j.ZoneUse)
 		clear(j.Avoid)
 	}
