Rename: the outcome that neither side knows is indeterminate, as the field calls it

store.Unknown is store.Indeterminate, and so it stands in the log (debug). Stored and wire forms are as they were.

--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -298,7 +298,7 @@
 				if w.rng.IntN(2) == 0 {
 					w.later(w.delay(), func() { w.apply(t) })
 				}
-				w.later(time.Second, func() { answer(store.Result{Outcome: store.Unknown}) })
+				w.later(time.Second, func() { answer(store.Result{Outcome: store.Indeterminate}) })
 			case x < w.trouble:
 				w.later(20*time.Millisecond, func() { answer(store.Result{Outcome: store.NotDone}) })
 			default:
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -292,7 +292,7 @@
 			} else {
 				n.enqueue(now, s)
 			}
-		case store.Unknown:
+		case store.Indeterminate:
 			// It may have been stored: only a read can tell. If it was not, it may yet
 			// be; then the user's retry finds it.
 			n.reread(s.spec.ID, s.reply, false, notStored)
@@ -507,7 +507,7 @@
 			case store.Committed:
 				n.Learned(n.Store.Now(), store.Item{Key: key, Value: raw, Version: r.Revision})
 				reply(n.show(n.Book.Get(id), false))
-			case store.Conflict, store.Unknown:
+			case store.Conflict, store.Indeterminate:
 				if tries == 0 {
 					reply(refuse(503, "the job keeps changing"))
 					return
--- a/internal/membership/register.go
+++ b/internal/membership/register.go
@@ -43,7 +43,7 @@
 			m.registered(m.store.Now())
 		case store.NoHold:
 			m.lose(m.store.Now())
-		case store.Conflict, store.Unknown:
+		case store.Conflict, store.Indeterminate:
 			// Somebody wrote it, perhaps this very process with a request that was given up.
 			m.store.Get(key, store.Safety, func(it store.Item, err error) {
 				if m.hold != hold {
--- a/internal/sessions/manager_test.go
+++ b/internal/sessions/manager_test.go
@@ -150,7 +150,7 @@
 		done(store.Result{Outcome: store.Conflict})
 		return
 	}
-	done(store.Result{Outcome: []store.Outcome{store.Committed, store.NotDone, store.Unknown, store.Unknown}[outcome], Revision: d.rev})
+	done(store.Result{Outcome: []store.Outcome{store.Committed, store.NotDone, store.Indeterminate, store.Indeterminate}[outcome], Revision: d.rev})
 }
 
 // apply carries out a transaction whose conditions hold.
--- a/internal/sessions/users.go
+++ b/internal/sessions/users.go
@@ -103,7 +103,7 @@
 			s := m.add(at, id, rec, r.Revision)
 			m.Learned(at, store.Item{Key: key, Value: job, Version: r.Revision})
 			reply(Answer{Status: 201, View: m.view(at, s)})
-		case store.Conflict, store.Unknown:
+		case store.Conflict, store.Indeterminate:
 			m.reopen(q, no(503, "the session was not stored"), reply)
 		default:
 			reply(no(503, "the state service did not take the session"))
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -51,17 +51,17 @@
 // Outcome is how a request ended.
 type Outcome uint8
 
-// The outcomes. Unknown must be resolved by a read before anything depends on it.
+// The outcomes. Indeterminate must be resolved by a read before anything depends on it.
 const (
 	Committed Outcome = iota
 	Conflict
-	NotDone // surely not carried out: outage, limit, or our own budget
-	NoHold  // the hold named is gone
-	Unknown // may have been carried out, or may be yet
+	NotDone       // surely not carried out: outage, limit, or our own budget
+	NoHold        // the hold named is gone
+	Indeterminate // may have been carried out, or may be yet
 )
 
 func (o Outcome) String() string {
-	return [...]string{"committed", "conflict", "not done", "no hold", "unknown"}[o]
+	return [...]string{"committed", "conflict", "not done", "no hold", "indeterminate"}[o]
 }
 
 // Result is the answer to a transaction.
@@ -222,7 +222,7 @@
 	case r.Refused || r.Status == 429 || r.Status == 503:
 		return Result{Outcome: NotDone}
 	case r.Err != nil:
-		return Result{Outcome: Unknown}
+		return Result{Outcome: Indeterminate}
 	}
 	_ = json.Unmarshal(r.Body, &b)
 	switch r.Status {
@@ -236,7 +236,7 @@
 		}
 		return Result{Outcome: NotDone}
 	}
-	return Result{Outcome: Unknown}
+	return Result{Outcome: Indeterminate}
 }
 
 // Get reads one key; a missing key has version 0.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -110,11 +110,11 @@
 		{"no answer", func() store.Outcome {
 			l.answer = func(httpio.Request) (httpio.Response, bool) { return httpio.Response{Err: httpio.ErrBusy}, true }
 			return put("b", 0, 0)
-		}, store.Unknown},
+		}, store.Indeterminate},
 		{"a strange answer", func() store.Outcome {
 			l.answer = func(httpio.Request) (httpio.Response, bool) { return httpio.Response{Status: 500}, true }
 			return put("b", 0, 0)
-		}, store.Unknown},
+		}, store.Indeterminate},
 		{"a request that never left", func() store.Outcome {
 			l.answer = func(httpio.Request) (httpio.Response, bool) {
 				return httpio.Response{Err: httpio.ErrBusy, Refused: true}, true
