Archive: ended jobs leave the followed keys, their answers stay for ever

Cause: a job's record was followed and kept by every controller for ever: 721 B of heap a job in each, and a list of a thousand records a request at each start. Change: internal/archive. The leader moves an ended job's answer to a key of its own, a/ID, in one transaction that depends on the record's version and the answer's absence; only what its fleet holds nothing of, after retain_s, with spare writes. Submissions depend on the answer's absence too, so that one that lands late makes nothing. Questions read the record first, the answer second. Records read late are void where the followed keys have passed them. The job table's indices are never used twice, and its shards are freed. TestRollProcesses now asks for the former release's level, which is no longer the first: as strict as before.

--- a/cmd/harewalk/admin.go
+++ b/cmd/harewalk/admin.go
@@ -60,6 +60,7 @@
 		last = " (" + s.Last + ")"
 	}
 	fmt.Fprintf(t, "revision\t%d%s\nterm\t%d\njobs\t%d\n", s.Revision, last, s.Term, s.Jobs)
+	showArchive(t, s.Archive)
 	for _, n := range s.Nodes {
 		what := "alive"
 		switch {
@@ -83,3 +84,11 @@
 		fmt.Fprintf(t, "draining %s\t%s, %d tasks left, for %s\n", m.Machine, m.State, m.Tasks, orSomebody(m.By))
 	}
 }
+
+func showArchive(t *tabwriter.Writer, a controller.ArchiveStatus) {
+	if a.Problem != "" {
+		fmt.Fprintf(t, "archive\tnothing is moved: %s\n", a.Problem)
+		return
+	}
+	fmt.Fprintf(t, "archive\t%s, %d moved in this term, %d ended jobs in memory, each for %g s at least\n", a.State, a.Moved, a.Waiting, a.RetainS)
+}
--- a/cmd/harewalk/rollout_world_test.go
+++ b/cmd/harewalk/rollout_world_test.go
@@ -90,7 +90,7 @@
 		out, code := command(t, "rollout", "status", "--server", server)
 		return code == 0 && strings.Contains(out, "announced by all")
 	})
-	if w.Level() != rollout.Base {
+	if w.Level() != rollout.Newest-1 { // the former release's, at which it founded the cluster
 		t.Error("the level rose without an operator's word")
 	}
 	if out, code := command(t, "rollout", "finish", "--server", server, "--revision", "7"); code != exitRefused {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -194,6 +194,8 @@
 
 	// Zones says how a zone that was lost comes back.
 	Zones *ZoneSettings `hcl:"zones,block" validate:"omitnil"`
+	// Archive says how ended jobs leave the followed keys.
+	Archive *ArchiveSettings `hcl:"archive,block" validate:"omitnil"`
 	// Rollout says how new releases take effect.
 	Rollout *RolloutSettings `hcl:"rollout,block" validate:"omitnil"`
 
@@ -270,7 +272,7 @@
 	if err := newValidator().Struct(&s.Operator); err != nil {
 		return fmt.Errorf("%s: %w", path, explain(err))
 	}
-	for _, f := range []func() error{s.checkTiming, s.derivePools, s.deriveSessions, s.Operator.readToken, s.openAccess} {
+	for _, f := range []func() error{s.checkTiming, s.checkArchive, s.derivePools, s.deriveSessions, s.Operator.readToken, s.openAccess} {
 		if err := f(); err != nil {
 			return fmt.Errorf("%s: %w", path, err)
 		}
--- /dev/null
+++ b/internal/controller/archive.go
@@ -0,0 +1,129 @@
+package controller
+
+import (
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/archive"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/rollout"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+// archiveEvery spaces the looks at what may be archived.
+const archiveEvery = 250 * time.Millisecond
+
+// newReader makes what finds archived answers.
+func (c *Controller) newReader(entries int) *archive.Reader {
+	r := archive.NewReader(c.store, entries)
+	r.Unreadable = func(key string, raw json.RawMessage, cause error) { c.roll.Unreadable(key, raw, cause) }
+	r.Readable = func(key string) { c.roll.Readable(key) }
+	return r
+}
+
+// newMover makes what moves ended jobs into the archive, for a term.
+func (c *Controller) newMover() *archive.Mover {
+	return archive.NewMover(archive.Env{
+		MayWrite: c.store.SpareFor,
+		Commit:   func(t store.Txn, done func(store.Result)) { c.commit(t, store.Bulk, done) },
+		Now:      c.loop.Now,
+		Moved:    c.archived.Learn,
+		TxnOps:   c.s.Params.State.TxnOps, WritesPerS: c.s.Params.State.WriteRPS,
+	})
+}
+
+// moveEnded archives ended jobs, where the cluster's level has every controller read them.
+func (c *Controller) moveEnded(now time.Duration) {
+	if c.mover == nil || now-c.archiveAt < archiveEvery || c.archive.Problem != nil || c.roll.Level() < rollout.Archived {
+		return
+	}
+	c.archiveAt = now
+	c.mover.Tick(now, c.backlog(now), func(take func(archive.Candidate) bool) {
+		c.book.Ended(now-c.archive.Retain, func(j *jobs.Job) bool {
+			if !c.settled(j) {
+				return true
+			}
+			return take(archive.Candidate{ID: j.ID, Version: j.Version, Answer: archive.Answer{Stance: j.Stance, Tasks: j.N, Done: j.DoneN}})
+		})
+	})
+}
+
+// backlog tells whether some ended job has waited for more than twice the time for which it is retained.
+func (c *Controller) backlog(now time.Duration) (late bool) {
+	c.book.Ended(now-2*c.archive.Retain, func(j *jobs.Job) bool {
+		late = c.settled(j)
+		return !late
+	})
+	return late
+}
+
+// settled tells whether an ended job can't have a task on any machine, and nothing else stands of it.
+func (c *Controller) settled(j *jobs.Job) bool {
+	if c.sess != nil && c.sess.Stands(j.ID) {
+		return false
+	}
+	return c.fleet.Settled(j) && !c.book.Unread(j.ID)
+}
+
+// recordGone takes over that a job's record has left the followed keys.
+func (c *Controller) recordGone(key string, version uint64) {
+	id := strings.TrimPrefix(key, jobs.Prefix)
+	c.book.Archive(id, version)
+	if c.mover != nil {
+		c.mover.Gone(id)
+	}
+}
+
+// recordsRead takes over a new reading of all followed keys, as far as jobs are concerned.
+func (c *Controller) recordsRead(items []store.Item) {
+	present := make(map[string]bool, len(items))
+	for _, it := range items {
+		if strings.HasPrefix(it.Key, jobs.Prefix) {
+			present[strings.TrimPrefix(it.Key, jobs.Prefix)] = true
+		}
+	}
+	c.book.Retain(c.mir.Revision(), func(id string) bool { return present[id] })
+}
+
+// ArchiveStatus is what operators are told of the archive.
+type ArchiveStatus struct {
+	// Moved counts the jobs that this leader has archived in its term, Waiting the ended ones that it holds still.
+	Moved   uint64  `json:"moved"`
+	Waiting int     `json:"waiting"`
+	RetainS float64 `json:"retain_s"`
+	State   string  `json:"stance"`
+	// Problem says why nothing is archived, "": it is.
+	Problem string `json:"problem,omitempty"`
+}
+
+// archiveStatus is told by the leader.
+func (c *Controller) archiveStatus() ArchiveStatus {
+	s := ArchiveStatus{Moved: c.mover.Figures.Moved, Waiting: c.book.Len() - c.liveJobs(), RetainS: c.archive.Retain.Seconds(), State: c.mover.State().String()}
+	switch {
+	case c.archive.Problem != nil:
+		s.Problem = c.archive.Problem.Error()
+	case c.roll.Level() < rollout.Archived:
+		s.Problem = "the cluster's level is below that of the archive: some controller can't read it yet"
+	}
+	return s
+}
+
+// sayArchive logs at the start why nothing will be archived.
+func (c *Controller) sayArchive() {
+	if c.archive.Problem != nil {
+		slog.Error("ended jobs are not archived: memory grows with each job", "cause", c.archive.Problem)
+	}
+}
+
+// resetKeys takes a new reading of all followed keys: what it lacks is gone.
+func (c *Controller) resetKeys(items []store.Item) {
+	c.roll.Reset(items)
+	c.mem.Reset(c.loop.Now(), items)
+	c.pools.Reset(func(key string) bool {
+		return slices.ContainsFunc(items, func(it store.Item) bool { return it.Key == key })
+	})
+	c.recordsRead(items)
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/harewalk/harewalk/internal/archive"
 	"github.com/harewalk/harewalk/internal/capacity"
 	"github.com/harewalk/harewalk/internal/config"
 	"github.com/harewalk/harewalk/internal/events"
@@ -86,6 +87,7 @@
 	fleet   *fleet.Fleet
 	cap     *capacity.Manager
 	sess    *sessions.Manager // nil where sessions are off
+	mover   *archive.Mover
 	loading bool
 	loadAt  time.Duration
 	steady  time.Duration // since when authority was not interrupted
@@ -99,6 +101,9 @@
 	ended  chan struct{}
 
 	rolledAt  time.Duration // when the rollout was looked at
+	archive   config.Archive
+	archived  *archive.Reader
+	archiveAt time.Duration // when ended jobs were looked at
 	zoned     zoned
 	wishes    operate.Wishes
 	wishesVer uint64
@@ -163,6 +168,9 @@
 		OnLead: c.lead, OnLose: c.lose}, c.store, c.mir.Fresh)
 	c.mir.OnItem = func(it store.Item) { c.item(c.loop.Now(), it) }
 	c.mir.OnDrop = func(k string, v uint64) {
+		if strings.HasPrefix(k, jobs.Prefix) {
+			c.recordGone(k, v)
+		}
 		c.roll.Drop(k, v)
 		c.mem.Drop(c.loop.Now(), k, v)
 		c.pools.Drop(k, v)
@@ -170,15 +178,11 @@
 			c.wished(nil, v)
 		}
 	}
-	c.mir.OnReset = func(items []store.Item) {
-		c.roll.Reset(items)
-		c.mem.Reset(c.loop.Now(), items)
-		c.pools.Reset(func(key string) bool {
-			return slices.ContainsFunc(items, func(it store.Item) bool { return it.Key == key })
-		})
-	}
+	c.mir.OnReset = c.resetKeys
 	c.mir.OnSynced = func() { c.roll.Synced(); c.mem.Synced(c.loop.Now()) }
-	c.in = intake.New(intake.Env{Store: c.store, Book: c.book, Admit: c.admit, Ready: c.mir.Synced,
+	c.archive = s.Archive()
+	c.archived = c.newReader(c.archive.CacheEntries)
+	c.in = intake.New(intake.Env{Store: c.store, Book: c.book, Archive: c.archived, Admit: c.admit, Ready: c.mir.Synced,
 		Counts: c.counts, Learned: c.learned, Guard: c.roll.Guard, Fit: c.roll.Fit, TxnOps: s.Params.State.TxnOps, MaxTasks: s.Params.Limits.Tasks(),
 		MaxBytes: s.Params.Limits.QueueBytes(), MaxValue: int(s.Params.State.ValueKB * 1024)})
 	return c
@@ -229,6 +233,7 @@
 	}
 	go func() { fail <- intake.Serve(public, routes) }()
 	go c.checkFiles(checkFilesEvery)
+	c.sayArchive()
 	slog.Info("serving", "node", c.s.Node, "public", c.s.Public, "hold_ms", c.s.Operator.HoldTTLMS,
 		"money_counts", c.s.MoneyCounts(), "objectives", len(c.s.Params.Objectives))
 	go c.loop.Run(TickEvery, c.tick)
@@ -304,7 +309,7 @@
 func (c *Controller) item(now time.Duration, it store.Item) {
 	switch {
 	case strings.HasPrefix(it.Key, jobs.Prefix):
-		c.learned(now, it)
+		c.record(now, it)
 	case strings.HasPrefix(it.Key, licences.Prefix):
 		c.counted(it)
 	case it.Key == operate.Key:
@@ -329,13 +334,25 @@
 	}
 }
 
-// learned takes over a job's record, from wherever it was read.
+// learned takes over a job's record that was read or written beside the followed keys. If they have passed its version
+// and the table lacks the job, it was archived since: an answer that came late must not let it live again.
 func (c *Controller) learned(now time.Duration, it store.Item) {
+	if c.book.Get(strings.TrimPrefix(it.Key, jobs.Prefix)) == nil && it.Version <= c.mir.Revision() {
+		return
+	}
+	c.record(now, it)
+}
+
+// record takes over a job's record.
+func (c *Controller) record(now time.Duration, it store.Item) {
 	j, changed, err := c.book.Apply(strings.TrimPrefix(it.Key, jobs.Prefix), it.Value, it.Version)
 	if err != nil {
 		c.roll.Unreadable(it.Key, it.Value, err)
 		return
 	}
+	if changed && j.Stance.Terminal() {
+		j.EndedAt = now
+	}
 	if changed && c.fleet != nil {
 		c.fleet.Changed(now, j)
 	}
@@ -497,7 +514,8 @@
 		Order:      c.order,
 		Events:     events.New(keptEvents(c.s.Params.Limits.Memory())),
 	}, term, now)
-	c.fleet.Events.Add(events.Event{At: now, Kind: events.Term, Job: events.None, Task: events.None, Machine: events.None, Note: c.s.Node})
+	c.fleet.Events.Add(events.Event{At: now, Kind: events.Term, Task: events.None, Machine: events.None, Note: c.s.Node})
+	c.mover = c.newMover()
 	c.cap = capacity.New(c.s, c.cloud, c.fleet, c.book.Door, func() []capacity.MachineType { return c.types }, term)
 	c.zoned.writing = false
 	c.recallZones()
@@ -531,7 +549,7 @@
 	if c.cap != nil {
 		c.cap.Close()
 	}
-	c.fleet, c.cap, c.sess, c.loading = nil, nil, nil, false
+	c.fleet, c.cap, c.sess, c.mover, c.loading = nil, nil, nil, nil, false
 	c.roll.Lost()
 	c.book.Recall()
 }
@@ -599,6 +617,7 @@
 		c.cap.Tick(now, c.steady)
 		c.keepZones(now)
 		c.cutOff(now)
+		c.moveEnded(now)
 	}
 }
 
--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -9,11 +9,10 @@
 
 	"github.com/harewalk/harewalk/internal/events"
 	"github.com/harewalk/harewalk/internal/intake"
-	"github.com/harewalk/harewalk/internal/jobs"
 	"github.com/harewalk/harewalk/internal/query"
 )
 
-// keptEvents bounds the events a leader keeps: some 60 bytes each, by the memory it may use.
+// keptEvents bounds the events a leader keeps: some 70 bytes each, by the memory it may use.
 func keptEvents(memoryMB float64) int { return max(256, min(16384, int(memoryMB*32))) }
 
 // Happened is one event as it is told.
@@ -76,15 +75,7 @@
 	if !ok {
 		return
 	}
-	only := int32(events.None)
-	if q.Name != "" {
-		j := c.book.Get(q.Name)
-		if j == nil {
-			reply(intake.Refuse(404, "no such job"))
-			return
-		}
-		only = int32(j.Index)
-	}
+	only := q.Name
 	if !c.mayList(now) {
 		reply(intake.Refuse(429, "too many lists"))
 		return
@@ -96,27 +87,36 @@
 			from = n
 		}
 	}
-	looks := 0
+	looks, about := 0, false
 	out.Next = c.fleet.Events.Since(from, func(e *events.Event) bool {
 		if looks++; looks > maxLooks || len(out.Events) == pageSize {
 			out.More = true
 			return false
 		}
-		if only != events.None && e.Job != only && e.Kind != events.Term {
+		if only != "" && e.Job != only && e.Kind != events.Term {
 			return true
 		}
+		about = about || e.Job == only
 		if h := c.happened(now, e); f.Match(&h, EventFields) {
 			out.Events = append(out.Events, h)
 		}
 		return true
 	})
+	if only != "" && !about && c.book.Get(only) == nil {
+		reply(intake.Refuse(404, notKept))
+		return
+	}
 	reply(intake.Reply{Status: 200, Body: out})
 }
 
+// notKept is told of a job that the leader's table lacks: it can't tell a job that was never accepted from an archived
+// one, of which only the answer is kept.
+const notKept = "no such job here: it was never accepted, or has ended and was archived; `job get` tells which"
+
 func (c *Controller) happened(now time.Duration, e *events.Event) Happened {
 	h := Happened{Seq: e.Seq, AgeS: math.Round((now-e.At).Seconds()*1000) / 1000, Kind: e.Kind.String(), Attempt: e.Attempt, Note: e.Note, Saved: e.Saved}
-	if e.Job != events.None {
-		h.Job = c.book.At(jobs.Index(e.Job)).ID
+	if e.Job != "" {
+		h.Job = e.Job
 		if e.Task != events.None {
 			h.Task = &e.Task
 		}
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -39,6 +39,9 @@
 	stateDesc    = desc("state_answer_age_seconds", "Since when the state service has not carried out a request of ours.")
 	lagDesc      = desc("loop_wait_seconds", "How long this scrape waited for the event loop.")
 	jobsDesc     = desc("jobs", "Jobs that are not over.")
+	knownDesc    = desc("jobs_known", "Jobs in this controller's memory: live ones, and ended ones that are not archived yet.")
+	cachedDesc   = desc("archive_cached", "Answers of archived jobs in this controller's memory.")
+	archivedDesc = desc("archive_moved", "Ended jobs that this leader has archived in its term; only the leader tells.")
 	tasksDesc    = desc("tasks", "Tasks of those jobs by state; only the leader tells.", "state")
 	machinesDesc = desc("machines", "Machines by condition; only the leader tells.", "condition")
 	coresDesc    = desc("cores", "Cores of machines that act, and what is in use.", "what")
@@ -97,6 +100,8 @@
 	add(stateDesc, (now - c.store.LastOK()).Seconds())
 	add(lagDesc, (now - asked).Seconds())
 	add(jobsDesc, float64(c.liveJobs()))
+	add(knownDesc, float64(c.book.Len()))
+	add(cachedDesc, float64(c.archived.Cached()))
 	add(levelDesc, float64(c.roll.Level()), "cluster")
 	add(levelDesc, float64(c.roll.Knows()), "known")
 	for s := rollout.Reading; s <= rollout.Behind; s++ {
@@ -109,6 +114,7 @@
 	if c.roll.State() == rollout.Migrating {
 		add(movingDesc, float64(c.fleet.OldPlans()))
 	}
+	add(archivedDesc, float64(c.mover.Figures.Moved))
 	tasks := map[jobs.State]int{}
 	c.book.Live(func(j *jobs.Job) {
 		for s, n := range j.In {
--- a/internal/controller/operate.go
+++ b/internal/controller/operate.go
@@ -86,6 +86,8 @@
 	Draining []MachineStatus `json:"draining"` // machines
 	Machines map[string]int  `json:"machines"` // by condition
 	Jobs     int             `json:"jobs"`
+	// Archive is how far ended jobs are out of the way.
+	Archive ArchiveStatus `json:"archive"`
 }
 
 // NodeStatus is one controller as the leader sees it.
@@ -187,5 +189,6 @@
 	}
 	slices.SortFunc(s.Draining, func(a, b MachineStatus) int { return strings.Compare(a.Machine, b.Machine) })
 	s.Jobs = c.liveJobs()
+	s.Archive = c.archiveStatus()
 	return s
 }
--- a/internal/controller/rollout.go
+++ b/internal/controller/rollout.go
@@ -28,7 +28,7 @@
 
 func (c *Controller) rolloutTurned(now time.Duration, to rollout.State, why string) {
 	if c.fleet != nil {
-		c.fleet.Events.Add(events.Event{At: now, Kind: events.Rollout, Job: events.None, Task: events.None, Machine: events.None, Note: to.String() + ": " + why})
+		c.fleet.Events.Add(events.Event{At: now, Kind: events.Rollout, Task: events.None, Machine: events.None, Note: to.String() + ": " + why})
 	}
 }
 
--- a/internal/controller/why.go
+++ b/internal/controller/why.go
@@ -33,7 +33,7 @@
 func (c *Controller) whyCall(now time.Duration, q intake.Call, reply func(intake.Reply)) {
 	j := c.book.Get(q.Name)
 	if j == nil {
-		reply(intake.Refuse(404, "no such job"))
+		reply(intake.Refuse(404, notKept))
 		return
 	}
 	w := Why{ID: j.ID, Stance: j.Stance.String(), Tasks: j.N, Waiting: []fleet.Part{}, Nearest: []string{}}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -1,6 +1,6 @@
 // Package events keeps what happened lately to jobs, tasks and machines, for whoever asks. It is the
 // leader's: a bounded ring in memory that begins with its term and takes no write of the state service.
-// Names are dense indices; whoever shows an event maps them back.
+// Machines are dense indices; whoever shows an event maps them back.
 package events
 
 import "time"
@@ -32,7 +32,7 @@
 
 func (k Kind) String() string { return kinds[k] }
 
-// None stands for no job, task or machine.
+// None stands for no task or machine.
 const None = -1
 
 // Event is one thing that happened.
@@ -40,8 +40,8 @@
 	Seq     uint64        // 1 is the first of the term
 	At      time.Duration // on the leader's steady clock
 	Kind    Kind
-	Saved   bool  // TaskEnded: with its work saved
-	Job     int32 // by the leader's book, or None
+	Saved   bool   // TaskEnded: with its work saved
+	Job     string // its id, or ""; an ended job's index would mean nothing once it is archived
 	Task    int32
 	Machine int32 // by the leader's fleet, or None
 	Attempt uint64
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -92,7 +92,6 @@
 	spread map[jobs.Index]map[int32]int
 
 	order  []*jobs.Job // live jobs by rank
-	rank   []int       // by job: its place in order plus one, 0 if it has none
 	within map[jobs.Index]bool
 	ranked time.Duration
 
@@ -232,13 +231,13 @@
 	}
 	slog.Info("machine", "name", m.Name, "from", m.Condition.String(), "to", c.String(), "term", f.Term, "cause", cause)
 	m.Condition = c
-	f.Events.Add(events.Event{At: f.Now(), Kind: events.Machine, Job: events.None, Machine: m.Index, Note: c.String()})
+	f.Events.Add(events.Event{At: f.Now(), Kind: events.Machine, Machine: m.Index, Note: c.String()})
 }
 
 // happened keeps an event of a task; the note says more.
 func (f *Fleet) happened(now time.Duration, kind events.Kind, j *jobs.Job, t int32, note string) {
 	k := &j.Tasks[t]
-	f.Events.Add(events.Event{At: now, Kind: kind, Job: int32(j.Index), Task: t, Machine: k.Machine, Attempt: k.Attempt, Note: note})
+	f.Events.Add(events.Event{At: now, Kind: kind, Job: j.ID, Task: t, Machine: k.Machine, Attempt: k.Attempt, Note: note})
 }
 
 // pageBytes is how much is put in one page at most, where a value may be larger: all of it is sent with each write.
@@ -568,14 +567,14 @@
 		j.Sealed = j.Sealed || f.unread[j.ID]
 		f.ranked = 0
 		slog.Info("job accepted", "job", j.ID, "class", j.Spec.Class, "kind", string(j.Spec.Kind), "tasks", j.N, "term", f.Term)
-		f.Events.Add(events.Event{At: now, Kind: events.JobAccepted, Job: int32(j.Index), Task: events.None, Machine: events.None})
+		f.Events.Add(events.Event{At: now, Kind: events.JobAccepted, Job: j.ID, Task: events.None, Machine: events.None})
 		return
 	}
 	ended := events.JobDone
 	if j.Stance == jobs.Cancelled {
 		ended = events.JobCancelled
 	}
-	f.Events.Add(events.Event{At: now, Kind: ended, Job: int32(j.Index), Task: events.None, Machine: events.None})
+	f.Events.Add(events.Event{At: now, Kind: ended, Job: j.ID, Task: events.None, Machine: events.None})
 	f.ranked = 0
 	delete(f.barren, j.Index)
 	delete(f.pleaded, j.Index)
@@ -702,6 +701,9 @@
 // first.
 func (f *Fleet) Rank(now time.Duration) {
 	f.ranked = now
+	for _, j := range f.order {
+		j.Place = 0
+	}
 	f.order = f.order[:0]
 	f.Book.Live(func(j *jobs.Job) {
 		if j.Tasks != nil && j.Spec != nil {
@@ -729,9 +731,8 @@
 	f.sortByRank(f.order, keys)
 	f.yieldPlaces(now, keys)
 	f.beginFirst(now)
-	f.rank = append(f.rank[:0], make([]int, f.Book.Len())...)
 	for i, j := range f.order {
-		f.rank[j.Index] = i + 1
+		j.Place = i + 1
 	}
 }
 
--- a/internal/fleet/push.go
+++ b/internal/fleet/push.go
@@ -74,7 +74,7 @@
 		f.ordering--
 		for _, a := range sent {
 			// The job may have ended and been swept while the request was under way.
-			if j := f.job(a.Job); ok && j.Tasks != nil && j.Tasks[a.Task].Attempt == a.n {
+			if j := f.job(a.Job); ok && j != nil && j.Tasks != nil && j.Tasks[a.Task].Attempt == a.n {
 				j.Tasks[a.Task].Late = false
 			}
 			if !ok && m.Session == session {
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -329,7 +329,7 @@
 		return
 	}
 	slog.Info("task ended", "task", e.Task, "machine", m.Name, "cause", e.Why, "saved", e.Saved, "term", f.Term)
-	f.Events.Add(events.Event{At: now, Kind: events.TaskEnded, Job: int32(j.Index), Task: t, Machine: m.Index, Attempt: k.Attempt, Note: e.Why, Saved: e.Saved})
+	f.Events.Add(events.Event{At: now, Kind: events.TaskEnded, Job: j.ID, Task: t, Machine: m.Index, Attempt: k.Attempt, Note: e.Why, Saved: e.Saved})
 	f.release(now, j, t, jobs.Unplanned, endOf(e.Why))
 	j.Touch(t, false, now)
 	switch e.Why {
--- a/internal/fleet/seats.go
+++ b/internal/fleet/seats.go
@@ -63,7 +63,7 @@
 func (f *Fleet) unbook(now time.Duration) {
 	f.Gate.Unbook(now, func(r licences.Ref) bool {
 		j := f.job(jobs.Index(r.Job))
-		return j.Stance.Terminal() || j.Tasks == nil || j.Tasks[r.Task].State != jobs.Planned || j.In[jobs.Unplanned] > 0
+		return j == nil || j.Stance.Terminal() || j.Tasks == nil || j.Tasks[r.Task].State != jobs.Planned || j.In[jobs.Unplanned] > 0
 	})
 }
 
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -65,8 +65,8 @@
 }
 
 func (f *Fleet) rankOf(j *jobs.Job) int {
-	if ix := int(j.Index); ix < len(f.rank) && f.rank[ix] > 0 {
-		return f.rank[ix] - 1
+	if j.Place > 0 {
+		return j.Place - 1
 	}
 	return 1 << 30
 }
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -257,3 +257,9 @@
 		}
 	})
 }
+
+// Settled tells whether an ended job has nothing left here: no task that may be on a machine, no plan that stands or
+// couldn't be read.
+func (f *Fleet) Settled(j *jobs.Job) bool {
+	return f.loaded && j.Stance.Terminal() && j.Tasks == nil && !j.Sealed && !f.unread[j.ID]
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/harewalk/harewalk/internal/access"
+	"github.com/harewalk/harewalk/internal/archive"
 	"github.com/harewalk/harewalk/internal/jobs"
 	"github.com/harewalk/harewalk/internal/store"
 )
@@ -47,6 +48,17 @@
 	maxChecks  = 2000
 )
 
+// submitOverhead is more than what a submission takes in a transaction beside its record: its key and conditions.
+const submitOverhead = 180
+
+// Bounds of one transaction that checks what is known of jobs: a job that isn't known here takes two conditions, one
+// on its record and one on its archived answer.
+const (
+	condsPerCheck = 2
+	condsPerOp    = 4 // conditions that the state service takes for each change that it takes
+	mostChecked   = 300
+)
+
 // Verdict says whether a job can ever run.
 type Verdict struct {
 	OK    bool
@@ -64,7 +76,9 @@
 type Env struct {
 	Store *store.Client
 	Book  *jobs.Book
-	Admit Admission
+	// Archive finds the answers of jobs that ended long ago.
+	Archive *archive.Reader
+	Admit   Admission
 	// Ready tells whether the job table was read in full.
 	Ready func() bool
 	// Counts gives what is displayed of a pending job.
@@ -178,24 +192,24 @@
 		n.queueCheck(now, check{id: s.ID, reply: reply, submit: true})
 		return
 	}
+	if a, ok := n.Archive.Known(s.ID); ok {
+		reply(showArchived(s.ID, a, false))
+		return
+	}
 	switch v := n.Admit(s); {
 	case !v.Known:
 		reply(refuse(503, v.Why))
 		return
-	case !v.OK && v.Open:
+	case !v.OK:
 		// A count of licences falls, or a machine type comes, while this job's record is on its way here
-		// from the controller that took it: only a read tells a refusal from a repetition.
+		// from the controller that took it; or the job was accepted under other settings and is archived. Only a
+		// read tells a refusal from a repetition.
 		if n.stateLost(now) || !n.Store.Room(0, store.Ordinary) {
 			reply(refuse(503, "the state service does not answer"))
 			return
 		}
 		n.reread(s.ID, reply, false, refuse(422, v.Why))
 		return
-	case !v.OK:
-		// The job may have been accepted elsewhere an instant ago, but what can never
-		// run is refused by every controller alike.
-		reply(refuse(422, v.Why))
-		return
 	}
 	if n.stateLost(now) {
 		reply(refuse(503, "the state service does not answer"))
@@ -234,7 +248,7 @@
 	seen := map[string]bool{}
 	for k < len(n.submits) && k < n.TxnOps {
 		s := n.submits[k]
-		if size += len(s.raw) + 120; size > 60<<10 || seen[s.spec.ID] {
+		if size += len(s.raw) + submitOverhead; size > 60<<10 || seen[s.spec.ID] {
 			break
 		}
 		seen[s.spec.ID] = true
@@ -255,7 +269,8 @@
 	for _, s := range batch {
 		n.bytes -= len(s.raw)
 		key := jobs.RecordKey(s.spec.ID)
-		t.If = append(t.If, store.Cond{Key: key})
+		// Should this land after the job was accepted elsewhere, has ended and was archived, it makes nothing.
+		t.If = append(t.If, store.Cond{Key: key}, archive.Absent(s.spec.ID))
 		t.Then = append(t.Then, store.Op{Put: key, Value: s.raw})
 	}
 	t.If = n.guarded(t.If...)
@@ -277,15 +292,9 @@
 		switch r.Outcome {
 		case store.Committed:
 			n.Learned(now, store.Item{Key: key, Value: s.raw, Version: r.Revision})
-			// Others may have read the record, and users cancelled the job, before this answer came: the newest that is
-			// known goes out.
-			if j := n.Book.Get(s.spec.ID); j != nil && j.Stance.Terminal() {
-				s.reply(n.show(j, false))
-				continue
-			}
-			s.reply(Reply{Status: 201, Body: view{ID: s.spec.ID, Stance: "pending"}})
+			n.accepted(s)
 		case store.Conflict:
-			if failed[key] {
+			if failed[key] || failed[archive.Key(s.spec.ID)] {
 				n.reread(s.spec.ID, s.reply, false, notStored)
 			} else if n.Guard != nil && failed[n.Guard().Key] {
 				s.reply(refuse(503, "the cluster's level has just changed"))
@@ -302,30 +311,17 @@
 	}
 }
 
-// notStored is the answer to a submission whose record is not there: it may come yet.
-var notStored = refuse(503, "the job was not stored")
-
-// reread answers from a fresh read of a job's record, with absent if there is none.
-func (n *Intake) reread(id string, reply func(Reply), full bool, absent Reply) {
-	class := store.Ordinary
-	if full {
-		class = store.Query
+// accepted answers a submission whose record is durable. Others may have read the record, users may have cancelled the
+// job, and it may even be over, before the answer of the state service came: the newest that is known goes out.
+func (n *Intake) accepted(s submit) {
+	switch j := n.Book.Get(s.spec.ID); {
+	case j == nil:
+		n.reread(s.spec.ID, s.reply, false, notStored)
+	case j.Stance.Terminal():
+		s.reply(n.show(j, false))
+	default:
+		s.reply(Reply{Status: 201, Body: view{ID: s.spec.ID, Stance: "pending"}})
 	}
-	n.Store.Get(jobs.RecordKey(id), class, func(it store.Item, err error) {
-		switch {
-		case err != nil:
-			reply(refuse(503, "the state service does not answer"))
-		case it.Version == 0:
-			reply(absent)
-		default:
-			n.Learned(n.Store.Now(), it)
-			if j := n.Book.Get(id); j != nil && !n.Book.Unread(id) {
-				reply(n.show(j, full))
-				return
-			}
-			reply(refuse(503, "the job's record cannot be read"))
-		}
-	})
 }
 
 // Query answers what has become of a job. What can still change is checked against the
@@ -342,8 +338,8 @@
 		reply(refuse(503, "still reading the jobs"))
 		return
 	}
-	if j := n.Book.Get(id); j != nil && j.Stance.Terminal() {
-		reply(n.show(j, true))
+	if r, ok := n.final(id, true); ok {
+		reply(r)
 		return
 	}
 	n.queueCheck(now, check{id: id, reply: reply})
@@ -384,7 +380,7 @@
 	seen := map[string]bool{}
 	t := store.Txn{}
 	k := 0
-	for ; k < len(n.checks) && len(seen) < 4*n.TxnOps && len(seen) < 300; k++ {
+	for ; k < len(n.checks) && len(t.If)+condsPerCheck <= condsPerOp*n.TxnOps && len(seen) < mostChecked; k++ {
 		c := n.checks[k]
 		c.version = 0
 		if j := n.Book.Get(c.id); j != nil {
@@ -393,6 +389,9 @@
 		if !seen[c.id] {
 			seen[c.id] = true
 			t.If = append(t.If, store.Cond{Key: jobs.RecordKey(c.id), Version: c.version})
+			if c.version == 0 {
+				t.If = append(t.If, archive.Absent(c.id))
+			}
 		}
 		batch = append(batch, c)
 	}
@@ -421,26 +420,41 @@
 	for _, c := range batch {
 		j := n.Book.Get(c.id)
 		switch {
-		case !failed[jobs.RecordKey(c.id)]:
+		case !failed[jobs.RecordKey(c.id)] && !failed[archive.Key(c.id)]:
 			// Our version was the newest when the check ran. What has been learnt since
 			// is newer still.
-			if j == nil {
-				c.reply(refuse(404, "no such job"))
-			} else {
+			switch {
+			case j != nil:
 				c.reply(n.show(j, !c.submit))
+			case c.version == 0:
+				c.reply(noSuchJob) // neither its record nor its answer was there, at one moment
+			default:
+				n.again(c) // it has ended and left the table meanwhile
 			}
 		case j != nil && j.Stance.Terminal():
 			c.reply(n.show(j, !c.submit))
+		case !failed[jobs.RecordKey(c.id)] && c.version == 0:
+			// Its answer was there, and its record wasn't: one read tells it.
+			n.archived(c.id, c.reply, !c.submit, n.absentFor(c))
 		default:
-			absent := refuse(404, "no such job")
-			if c.submit {
-				absent = notStored
-			}
-			n.reread(c.id, c.reply, !c.submit, absent)
+			n.again(c)
 		}
 	}
 }
 
+// absentFor answers a question about a job that has neither record nor answer.
+func (n *Intake) absentFor(c check) Reply {
+	if c.submit {
+		return notStored
+	}
+	return noSuchJob
+}
+
+// again answers a question by reading, where a check has not settled it.
+func (n *Intake) again(c check) {
+	n.reread(c.id, c.reply, !c.submit, n.absentFor(c))
+}
+
 // Abort cancels a job. The answer is given once that is durable.
 func (n *Intake) Abort(now time.Duration, id string, reply func(Reply)) {
 	n.AbortBy(now, nil, id, reply)
@@ -459,11 +473,13 @@
 		reply(refuse(503, "still reading the jobs"))
 		return
 	}
+	if r, ok := n.final(id, false); ok {
+		reply(r)
+		return
+	}
 	if n.stateLost(now) {
-		if j := n.Book.Get(id); j == nil || !j.Stance.Terminal() {
-			reply(refuse(503, "the state service does not answer"))
-			return
-		}
+		reply(refuse(503, "the state service does not answer"))
+		return
 	}
 	n.abort(w, id, reply, 4)
 }
@@ -484,11 +500,11 @@
 			case err != nil || tries == 0:
 				reply(refuse(503, "the state service does not answer"))
 			case it.Version == 0:
-				reply(refuse(404, "no such job"))
+				n.abortArchived(w, id, reply, tries)
 			default:
 				n.Learned(n.Store.Now(), it)
 				if n.Book.Unread(id) {
-					reply(refuse(503, "the job's record cannot be read"))
+					reply(unreadable)
 					return
 				}
 				n.abort(w, id, reply, tries-1)
@@ -506,7 +522,11 @@
 			switch r.Outcome {
 			case store.Committed:
 				n.Learned(n.Store.Now(), store.Item{Key: key, Value: raw, Version: r.Revision})
-				reply(n.show(n.Book.Get(id), false))
+				if r, ok := n.final(id, false); ok {
+					reply(r)
+					return
+				}
+				n.reread(id, reply, false, notStored) // archived before this answer came
 			case store.Conflict, store.Indeterminate:
 				if tries == 0 {
 					reply(refuse(503, "the job keeps changing"))
--- /dev/null
+++ b/internal/intake/resolve.go
@@ -0,0 +1,110 @@
+package intake
+
+import (
+	"errors"
+
+	"github.com/harewalk/harewalk/internal/access"
+	"github.com/harewalk/harewalk/internal/archive"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+// This file finds out what has become of a job where the table of jobs doesn't tell: its record is read first and its
+// archived answer second. A job only ever moves from the one to the other, so one that was accepted before the first
+// read is found by one of the two.
+
+// Answers about a job that can't be told more of.
+var (
+	noSuchJob = refuse(404, "no such job")
+	// notStored is the answer to a submission whose record is not there: it may come yet.
+	notStored    = refuse(503, "the job was not stored")
+	unreadable   = refuse(503, "the job's record cannot be read")
+	noStateReply = refuse(503, "the state service does not answer")
+)
+
+// final gives the answer about a job that is known to have ended; it never changes, so no read is needed.
+func (n *Intake) final(id string, full bool) (Reply, bool) {
+	if j := n.Book.Get(id); j != nil {
+		return n.show(j, full), j.Stance.Terminal()
+	}
+	a, ok := n.Archive.Known(id)
+	return showArchived(id, a, full), ok
+}
+
+// showArchived tells an archived job's answer.
+func showArchived(id string, a archive.Answer, full bool) Reply {
+	v := view{ID: id, Stance: a.Stance.String()}
+	if full {
+		running := 0
+		v.Done, v.Running = &a.Done, &running
+	}
+	return Reply{Status: 200, Body: v}
+}
+
+// classOf is how urgent a read is: questions are asked again soon.
+func classOf(full bool) store.Class {
+	if full {
+		return store.Query
+	}
+	return store.Ordinary
+}
+
+// reread answers from a fresh read of a job's record, or of its archived answer, with absent if there is neither.
+func (n *Intake) reread(id string, reply func(Reply), full bool, absent Reply) {
+	n.Store.Get(jobs.RecordKey(id), classOf(full), func(it store.Item, err error) {
+		if err != nil {
+			reply(noStateReply)
+			return
+		}
+		if it.Version == 0 {
+			n.archived(id, reply, full, absent)
+			return
+		}
+		n.Learned(n.Store.Now(), it)
+		switch j := n.Book.Get(id); {
+		case n.Book.Unread(id):
+			reply(unreadable)
+		case j != nil:
+			reply(n.show(j, full))
+		default:
+			// The followed keys have already seen this record go: it was moved after it was read.
+			n.archived(id, reply, full, notStored)
+		}
+	})
+}
+
+// archived answers from a job's archived answer, after its record was seen to be absent.
+func (n *Intake) archived(id string, reply func(Reply), full bool, absent Reply) {
+	n.Archive.Find(id, classOf(full), func(a archive.Answer, found bool, err error) {
+		switch j := n.Book.Get(id); {
+		case errors.Is(err, archive.ErrUnreadable):
+			reply(unreadable)
+		case err != nil:
+			reply(noStateReply)
+		case found:
+			reply(showArchived(id, a, full))
+		case j != nil:
+			reply(n.show(j, full)) // accepted since its record was read
+		default:
+			reply(absent)
+		}
+	})
+}
+
+// abortArchived answers a cancellation after the job's record was seen to be absent.
+func (n *Intake) abortArchived(w *access.Who, id string, reply func(Reply), tries int) {
+	n.Archive.Find(id, store.Ordinary, func(a archive.Answer, found bool, err error) {
+		switch j := n.Book.Get(id); {
+		case errors.Is(err, archive.ErrUnreadable):
+			reply(unreadable)
+		case err != nil:
+			reply(noStateReply)
+		case found:
+			reply(showArchived(id, a, false))
+		case j != nil:
+			n.abort(w, id, reply, tries-1) // accepted since its record was read
+		default:
+			reply(noSuchJob)
+		}
+	})
+}
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -64,6 +64,14 @@
 
 	Closing bool // the terminal record is being written
 	Started bool // some task was launched at least once
+
+	// Place is its rank among the live jobs of its planner, from 1; 0: it has none.
+	Place int
+	// EndedAt is when this controller learnt that the job is terminal, on its steady clock.
+	EndedAt time.Duration
+	// Archived: its record is gone from the followed keys, and it leaves the table once its planner holds nothing of it.
+	Archived bool
+	gone     bool // it has left the table
 }
 
 // Names maps the names of one kind to dense indices.
@@ -139,9 +147,10 @@
 
 // Book is the table of all jobs. It never tells an older stance than it has told.
 type Book struct {
-	byID  map[string]Index
-	jobs  []*Job
+	byID  map[string]*Job
+	table table
 	live  map[Index]*Job
+	ended endedQueue
 	tasks int   // of live jobs
 	epoch int64 // wall-clock milliseconds at steady time 0
 	Door  *Door
@@ -151,19 +160,14 @@
 
 // NewBook makes an empty table; epochMS is the wall clock at steady time 0.
 func NewBook(epochMS int64) *Book {
-	return &Book{unread: map[string]uint64{}, byID: map[string]Index{}, live: map[Index]*Job{}, epoch: epochMS, Door: &Door{Pools: licences.NewCatalog(nil)}}
+	return &Book{unread: map[string]uint64{}, byID: map[string]*Job{}, live: map[Index]*Job{}, epoch: epochMS, Door: &Door{Pools: licences.NewCatalog(nil)}}
 }
 
-// At finds a job by index.
-func (b *Book) At(i Index) *Job { return b.jobs[i] }
+// At finds a job by index; nil: it has left the table. An index is never used for a second job.
+func (b *Book) At(i Index) *Job { return b.table.at(i) }
 
-// Get finds a job by id.
-func (b *Book) Get(id string) *Job {
-	if i, ok := b.byID[id]; ok {
-		return b.jobs[i]
-	}
-	return nil
-}
+// Get finds a job by id, or nil.
+func (b *Book) Get(id string) *Job { return b.byID[id] }
 
 // Unread tells whether the newest record of a job can't be read: nothing may be told of it, and nothing done.
 func (b *Book) Unread(id string) bool { _, ok := b.unread[id]; return ok }
@@ -172,7 +176,7 @@
 func (b *Book) Unreads() []string { return slices.Sorted(maps.Keys(b.unread)) }
 
 // Len is the number of jobs known.
-func (b *Book) Len() int { return len(b.jobs) }
+func (b *Book) Len() int { return len(b.byID) }
 
 // LiveTasks is the number of tasks of all jobs that are not terminal.
 func (b *Book) LiveTasks() int { return b.tasks }
@@ -210,9 +214,9 @@
 		}
 	}
 	if j == nil {
-		j = &Job{Index: Index(len(b.jobs)), ID: strings.Clone(id), N: r.N, ZoneUse: map[int32]int{}}
-		b.jobs = append(b.jobs, j)
-		b.byID[j.ID] = j.Index
+		j = &Job{ID: strings.Clone(id), N: r.N, ZoneUse: map[int32]int{}}
+		b.table.add(j)
+		b.byID[j.ID] = j
 	} else if j.Stance == st {
 		j.Version = version
 		return j, false, nil
@@ -240,6 +244,7 @@
 	}
 	if st.Terminal() {
 		delete(b.live, j.Index)
+		b.ended.add(j)
 		if st == Done {
 			j.DoneN = j.N
 		}
@@ -259,21 +264,20 @@
 
 // Recall drops what only the job's planner needs: after losing the lead.
 func (b *Book) Recall() {
-	for _, j := range b.jobs {
-		j.Runs = 0
+	b.All(func(j *Job) {
+		j.Runs, j.Place = 0, 0
 		j.Parked, j.Sealed = false, b.Unread(j.ID)
 		j.Tasks, j.Chunks, j.Closing, j.Started, j.GangDone, j.Attempt, j.Beside = nil, nil, false, false, false, 0, 0
 		clear(j.ZoneUse)
 		clear(j.Avoid)
-	}
+		if j.Archived {
+			b.remove(j)
+		}
+	})
 }
 
 // Idle tells whether nothing of the job is to be planned.
 func (j *Job) Idle() bool { return j.Parked || j.Sealed }
 
 // All calls f for every job.
-func (b *Book) All(f func(*Job)) {
-	for _, j := range b.jobs {
-		f(j)
-	}
-}
+func (b *Book) All(f func(*Job)) { b.table.all(f) }
--- a/internal/rollout/formats.go
+++ b/internal/rollout/formats.go
@@ -19,16 +19,17 @@
 
 // The levels.
 const (
-	Base   Level = 1 // what releases wrote before there were levels
-	Paged  Level = 2 // plans stand in pages that many jobs share; the term is written so that those releases can't lead
-	Newest       = Paged
+	Base     Level = 1 // what releases wrote before there were levels
+	Paged    Level = 2 // plans stand in pages that many jobs share; the term is written so that those releases can't lead
+	Archived Level = 3 // ended jobs leave the followed keys for the archive
+	Newest         = Archived
 )
 
 // Release is this program's, in the order of semantic versions.
-const Release = "v0.21.0"
+const Release = "v0.22.0"
 
 // behaviours names what each level switches on, for people.
-var behaviours = map[Level]string{Base: "base", Paged: "plan-pages"}
+var behaviours = map[Level]string{Base: "base", Paged: "plan-pages", Archived: "archive"}
 
 // Guard is what keeps a controller from harm by a record whose format it doesn't know, or that is damaged.
 type Guard string
@@ -65,6 +66,9 @@
 // first is the release that named formats; before it there was only format 1 of each.
 const first = "v0.21.0"
 
+// archiving is the release that began to archive ended jobs.
+const archiving = "v0.22.0"
+
 func one(kind, prefix string, g Guard) Row {
 	return Row{kind, prefix, []int{1}, []Write{{Base, 1, first}}, g}
 }
@@ -72,6 +76,7 @@
 // Table lists every kind of record in the state service. A test holds each slice's code against it.
 var Table = []Row{
 	one("job", "h/j/", Seal),
+	{"archived-job", "a/", []int{1}, []Write{{Base, 0, first}, {Archived, 1, archiving}}, Seal},
 	{"plan", "p/", []int{1}, []Write{{Base, 1, first}, {Paged, 0, first}}, Seal}, // 0: no longer written by itself
 	{"plan-page", "p/@/", []int{1}, []Write{{Base, 0, first}, {Paged, 1, first}}, Seal},
 	one("image-hints", "p/images", Hint),
--- a/internal/sessions/manager.go
+++ b/internal/sessions/manager.go
@@ -115,6 +115,9 @@
 	slog.Info("sessions loaded", "term", m.term, "sessions", len(m.byID))
 }
 
+// Stands tells whether a session of that id is recorded.
+func (m *Manager) Stands(id string) bool { return m.byID[id] != nil }
+
 // add makes a session that opens.
 func (m *Manager) add(now time.Duration, id string, r Record, version uint64) *session {
 	s := &session{id: id, rec: r, version: version, state: Opening, since: now, input: now, heard: now, place: -1}
--- a/internal/sessions/users.go
+++ b/internal/sessions/users.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/harewalk/harewalk/internal/archive"
 	"github.com/harewalk/harewalk/internal/jobs"
 	"github.com/harewalk/harewalk/internal/store"
 )
@@ -91,7 +92,7 @@
 	key := jobs.RecordKey(id)
 	m.opens["u/"+q.User]++
 	m.opens["t/"+team]++
-	m.Commit(store.Txn{If: []store.Cond{{Key: key}, {Key: Key(id)}}, Then: []store.Op{{Put: key, Value: job}, {Put: Key(id), Value: raw}}}, func(r store.Result) {
+	m.Commit(store.Txn{If: []store.Cond{{Key: key}, archive.Absent(id), {Key: Key(id)}}, Then: []store.Op{{Put: key, Value: job}, {Put: Key(id), Value: raw}}}, func(r store.Result) {
 		at := m.Now()
 		for _, k := range []string{"u/" + q.User, "t/" + team} {
 			if m.opens[k]--; m.opens[k] == 0 {
@@ -104,7 +105,11 @@
 			m.Learned(at, store.Item{Key: key, Value: job, Version: r.Revision})
 			reply(Answer{Status: 201, View: m.view(at, s)})
 		case store.Conflict, store.Indeterminate:
-			m.reopen(q, no(503, "the session was not stored"), reply)
+			absent := no(503, "the session was not stored")
+			if slices.Contains(r.Failed, archive.Key(id)) {
+				absent = no(409, "the id %s is taken by a job that has ended", id)
+			}
+			m.reopen(q, absent, reply)
 		default:
 			reply(no(503, "the state service did not take the session"))
 		}
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -54,6 +54,9 @@
 // Synced tells whether the keys were ever read in full.
 func (m *Mirror) Synced() bool { return m.synced }
 
+// Revision is up to where the copy is complete: every change by then has been handed on.
+func (m *Mirror) Revision() uint64 { return m.rev }
+
 // Fresh is a time at which the copy was surely complete.
 func (m *Mirror) Fresh() time.Duration { return m.fresh }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -178,6 +178,11 @@
 // Spare tells whether half of the budget for writes is unused.
 func (c *Client) Spare() bool { return c.writes.Has(c.now(), c.writes.burst/2, Safety) }
 
+// SpareFor tells whether half of the budget for writes would be unused after n more.
+func (c *Client) SpareFor(n int) bool {
+	return c.reqs.Has(c.now(), 1, Bulk) && c.writes.Has(c.now(), c.writes.burst/2+float64(n), Safety)
+}
+
 func (c *Client) call(req httpio.Request, writes int, class Class, done func(httpio.Response)) {
 	if !c.Room(writes, class) {
 		done(httpio.Response{Status: 429})
--- a/internal/world/releases.go
+++ b/internal/world/releases.go
@@ -180,3 +180,11 @@
 	}
 	return w.sim.nodes[i].runs
 }
+
+// LosePositions lets every watch that is opened from now on, at a revision before the present one, be told that its
+// position is too old.
+func (w *World) LosePositions() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.svc.Gone = w.svc.Rev + 1
+}
--- a/internal/world/sim_test.go
+++ b/internal/world/sim_test.go
@@ -112,6 +112,9 @@
   poll_s   = 0.5
   linger_s = 4.5
 }
+archive {
+  retain_s = 2
+}
 `
 
 // chaos plays a few simulated minutes in which machines, controllers, the state service, the cloud
--- a/internal/world/writes_test.go
+++ b/internal/world/writes_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/harewalk/harewalk/internal/archive"
 	"github.com/harewalk/harewalk/internal/jobs"
 	"github.com/harewalk/harewalk/internal/rollout"
 	"github.com/harewalk/harewalk/internal/store"
@@ -24,6 +25,7 @@
 	{prefix: jobs.PlanPages, own: true, others: []string{"h/c/leader"}},
 	{prefix: jobs.PlanPrefix, own: true, others: []string{"h/c/leader"}},
 	{prefix: "h/j/", own: true},
+	{prefix: archive.Prefix, own: true, others: []string{"h/c/leader", "h/j/"}},
 	{prefix: "h/c/leader", own: true, others: []string{"h/c/term"}},
 	{prefix: "h/c/term", others: []string{"h/c/leader"}},
 	{prefix: "h/c/map", others: []string{"h/c/leader", "h/c/term"}},
@@ -61,6 +63,11 @@
 			if c.own && !gone && !slices.ContainsFunc(tx.If, func(x store.Cond) bool { return x.Key == key }) {
 				wrong[c.prefix+" doesn't depend on its own version"] = true
 			}
+			// A job's record is made only where the job isn't archived: a first submission may land long after its end.
+			if made := slices.Contains(tx.If, store.Cond{Key: o.Put}); made && c.prefix == jobs.Prefix &&
+				!slices.Contains(tx.If, archive.Absent(strings.TrimPrefix(o.Put, jobs.Prefix))) {
+				wrong[c.prefix+" is made without a look at the archive"] = true
+			}
 			for _, other := range c.others {
 				if !has(other) {
 					wrong[c.prefix+" doesn't depend on "+other] = true
@@ -90,7 +97,7 @@
 	for w := range wrong {
 		t.Error(w)
 	}
-	for _, p := range []string{jobs.PlanPages, jobs.PlanPrefix, "h/j/", "h/c/leader", "h/c/types", "h/c/n/", "h/r/level", "h/r/migration", "h/r/words", "h/z/", "h/o/"} {
+	for _, p := range []string{jobs.PlanPages, jobs.PlanPrefix, "h/j/", archive.Prefix, "h/c/leader", "h/c/types", "h/c/n/", "h/r/level", "h/r/migration", "h/r/words", "h/z/", "h/o/"} {
 		if seen[p] == 0 {
 			t.Errorf("no write of %s was seen: %v", p, seen)
 		}
