Lab: lab scale measures what a cluster costs, with real controllers and hollow workers

Cause: what a role costs at the size that is planned for was known from the bench's copies only. Change: internal/lab/scale and harewalk lab scale: controllers as processes measured from outside, the stand-in state service in a process of its own, hollow workers and users in one; lines by least squares, a size held out, tables, JSON and a page. The world's loopback serves all addresses with one server, and each machine has a client of its own. The test that reads all files of deploy/lab leaves scale.hcl to the package whose plan it is, which reads it in TestPublishedPlan.

Result: tests of the package, of one small run, of an interrupted one and of refused plans pass.

--- a/cmd/harewalk/lab.go
+++ b/cmd/harewalk/lab.go
@@ -67,6 +67,7 @@
 	f.StringVar(&html, "html", "", "write a report with plots to this file")
 	f.StringVar(&logs, "log-level", "error", "what the controllers log: error, info or debug")
 	outputFlag(f, &o.output)
+	c.AddCommand(labScaleCmd(), labStateCmd())
 	return c
 }
 
--- /dev/null
+++ b/cmd/harewalk/lab_scale_test.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/lab/scale"
+)
+
+const smallScale = `
+name      = "one small size"
+settle_s  = 6
+measure_s = 4
+report_s  = 1
+lease_s   = 10
+cancel_s  = 30
+poll_s    = 1
+state {
+  rps       = 500
+  write_rps = 200
+  value_kb  = 8
+  txn_ops   = 24
+}
+step "small" {
+  machines          = 20
+  tasks_per_machine = 2
+  task_s            = 1
+  tasks_per_job     = 8
+}
+`
+
+// children lists the processes that this one has started and that still run.
+func children(t *testing.T) (pids []string) {
+	t.Helper()
+	tasks, err := filepath.Glob("/proc/self/task/*/children")
+	if err != nil || len(tasks) == 0 {
+		t.Skip("the system doesn't list a process's children")
+	}
+	for _, f := range tasks {
+		raw, _ := os.ReadFile(f)
+		pids = append(pids, strings.Fields(string(raw))...)
+	}
+	return pids
+}
+
+// One small size of a scale run: the rules hold, every task began once, jobs were done, every process is measured, and none
+// is left. The verdict doesn't depend on how fast this machine is.
+func TestScaleRun(t *testing.T) {
+	p, err := scale.Parse("small.hcl", []byte(smallScale))
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := len(children(t))
+	r, err := scale.Run(context.Background(), p, scale.Options{Program: []string{os.Args[0]}, Env: []string{asProgram + "=1"}, Progress: func(line string) { t.Log(line) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := r.Steps[0]
+	if s.Broken != 0 || s.Again != 0 {
+		t.Errorf("%d rules were broken, the first: %s; %d tasks began again after they were done", s.Broken, s.First, s.Again)
+	}
+	for _, what := range []string{"machines", "leader_rss", "follower_rss", "state_requests", "leader_read", "state_followed"} {
+		if s.Values[what] <= 0 {
+			t.Errorf("%s is %v", what, s.Values[what])
+		}
+	}
+	if s.Values["machines"] != 20 || r.PeakProcesses != 5 {
+		t.Errorf("%v machines, %d processes", s.Values["machines"], r.PeakProcesses)
+	}
+	if after := len(children(t)); after != before {
+		t.Errorf("%d processes are left of the run", after-before)
+	}
+}
+
+// Ctrl-C ends a run and all its processes.
+func TestScaleRunIsInterrupted(t *testing.T) {
+	plan := filepath.Join(t.TempDir(), "long.hcl")
+	if err := os.WriteFile(plan, []byte(strings.Replace(smallScale, "settle_s  = 6", "settle_s  = 300", 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0], "lab", "scale", plan)
+	cmd.Env = append(os.Environ(), asProgram+"=1")
+	var out bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	of := func() (pids []string) {
+		tasks, _ := filepath.Glob("/proc/" + strconv.Itoa(cmd.Process.Pid) + "/task/*/children")
+		for _, f := range tasks {
+			raw, _ := os.ReadFile(f)
+			pids = append(pids, strings.Fields(string(raw))...)
+		}
+		return pids
+	}
+	until(t, "its processes run", func() bool { return len(of()) >= 4 })
+	started := of()
+	_ = cmd.Process.Signal(os.Interrupt)
+	if err := cmd.Wait(); err == nil {
+		t.Error("an interrupted run ended well")
+	}
+	for _, pid := range started {
+		until(t, "process "+pid+" has ended", func() bool {
+			_, err := os.Stat("/proc/" + pid)
+			if err != nil {
+				return true
+			}
+			time.Sleep(50 * time.Millisecond)
+			return false
+		})
+	}
+}
+
+// Wrong plans, and those that are too large, end with the exit code for wrong arguments and a message that says why.
+func TestScaleRefuses(t *testing.T) {
+	dir := t.TempDir()
+	for name, c := range map[string][2]string{
+		"unknown.hcl": {strings.Replace(smallScale, "poll_s", "pole_s", 1), "pole_s"},
+		"large.hcl":   {strings.Replace(smallScale, "= 20\n", "= 99999\n", 1), "half of the memory"},
+	} {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(strings.Replace(c[0], "tasks_per_machine = 2", "tasks_per_machine = 64", 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if out, code := command(t, "lab", "scale", path); code != exitUsage || !strings.Contains(out, c[1]) {
+			t.Errorf("%s: exit code %d: %s", name, code, out)
+		}
+	}
+}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -187,6 +187,9 @@
 		t.Fatalf("%v, %v", files, err)
 	}
 	for _, f := range files {
+		if filepath.Base(f) == "scale.hcl" {
+			continue // a plan of sizes, which package scale reads in a test of its own
+		}
 		if _, err := Read(f); err != nil {
 			t.Error(err)
 		}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -153,3 +153,23 @@
 	_, body, _ := bytes.Cut(b.Bytes(), []byte("<svg"))
 	return template.HTML("<svg" + string(body))
 }
+
+// Point is a point of a curve.
+type Point struct{ X, Y float64 }
+
+// Curves draws lines in one plot as SVG, with labels for the values on both axes; both begin at 0.
+func Curves(lines [][]Point, x, y func(float64) string) template.HTML {
+	p := plot{x: x, y: y}
+	for _, l := range lines {
+		var line []point
+		for _, q := range l {
+			p.xs, p.ys = max(p.xs, q.X), max(p.ys, q.Y*plotRoom)
+			line = append(line, point{q.X, q.Y})
+		}
+		p.lines = append(p.lines, line)
+	}
+	return p.draw()
+}
+
+// plotRoom is by how much a plot is higher than its highest value.
+const plotRoom = 1.05
--- a/internal/world/cluster.go
+++ b/internal/world/cluster.go
@@ -22,8 +22,8 @@
 	proc  []*exec.Cmd
 
 	operator bool // there are operators' settings
-	// Secure are free addresses, one for each controller: {tls} in its operators' settings.
-	Secure []string
+	// Secure are free addresses, one for each controller: {tls} in its operators' settings; Debug likewise: {debug}.
+	Secure, Debug []string
 	// Kills counts the controllers that were killed.
 	Kills int
 }
@@ -38,12 +38,15 @@
 	c.operator = operator != ""
 	for i := range c.proc {
 		c.Program(i, env, argv...)
-		addr, err := freePort()
-		if err != nil {
-			return nil, err
+		for _, addrs := range []*[]string{&c.Secure, &c.Debug} {
+			addr, err := freePort()
+			if err != nil {
+				return nil, err
+			}
+			*addrs = append(*addrs, addr)
 		}
-		c.Secure = append(c.Secure, addr)
-		if err := os.WriteFile(c.own(i), []byte(strings.ReplaceAll(operator, "{tls}", addr)), 0o600); err != nil {
+		own := strings.NewReplacer("{tls}", c.Secure[i], "{debug}", c.Debug[i]).Replace(operator)
+		if err := os.WriteFile(c.own(i), []byte(own), 0o600); err != nil {
 			return nil, err
 		}
 		if err := os.WriteFile(c.settings(i), w.Settings(i), 0o600); err != nil {
@@ -108,6 +111,16 @@
 	}
 }
 
+// PID is the number of a controller's process, 0: it has none.
+func (c *Cluster) PID(i int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.proc[i] == nil {
+		return 0
+	}
+	return c.proc[i].Process.Pid
+}
+
 // Runs tells whether a controller has a process.
 func (c *Cluster) Runs(i int) bool {
 	c.mu.Lock()
--- a/internal/world/ground.go
+++ b/internal/world/ground.go
@@ -1,13 +1,13 @@
 package world
 
 import (
+	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/url"
 	"sync"
 	"time"
 
-	"github.com/gofiber/fiber/v3"
 	"github.com/valyala/fasthttp"
 )
 
@@ -34,23 +34,31 @@
 	listen(name, zone string, h handler) (addr string, err error)
 	// addresses are a controller's, for users and for the others.
 	addresses(controller int) (public, back string, err error)
-	// ask sends a worker's request from its zone to an address; status 0 means that no answer came.
-	ask(zone, addr, path string, body []byte, then func(status int, body []byte))
+	// ask sends the request of a worker, by its machine's name, "" for a late copy, from its zone to an address; status 0
+	// means that no answer came.
+	ask(machine, zone, addr, path string, body []byte, then func(status int, body []byte))
 	close()
 }
 
-// loopback is real time and real sockets.
+// loopback is real time and real sockets. All addresses are served by one server, and each machine has a client of its
+// own, as its worker has: thousands of machines fit one process, and controllers see as many connections as there are
+// workers.
 type loopback struct {
-	start  time.Time
-	stop   chan struct{}
-	mu     sync.Mutex
-	apps   []*fiber.App
-	client *fasthttp.Client
+	start    time.Time
+	stop     chan struct{}
+	server   *fasthttp.Server
+	mu       sync.Mutex
+	handlers map[string]handler // by address
+	clients  map[string]*fasthttp.Client
 }
 
+// idleTimeout is how long a connection may stay without a request.
+const idleTimeout = 30 * time.Second
+
 func newLoopback() *loopback {
-	return &loopback{start: time.Now(), stop: make(chan struct{}),
-		client: &fasthttp.Client{Dial: fasthttp.Dial, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}}
+	l := &loopback{start: time.Now(), stop: make(chan struct{}), handlers: map[string]handler{}, clients: map[string]*fasthttp.Client{}}
+	l.server = &fasthttp.Server{Handler: l.serve, IdleTimeout: idleTimeout, NoDefaultServerHeader: true, Concurrency: 1 << 20, ReduceMemoryUsage: true}
+	return l
 }
 
 func (l *loopback) now() time.Duration { return time.Since(l.start) }
@@ -70,35 +78,45 @@
 	if err != nil {
 		return "", err
 	}
-	app := fiber.New(fiber.Config{IdleTimeout: 30 * time.Second})
-	app.All("/*", func(c fiber.Ctx) error {
-		u, err := url.Parse(c.OriginalURL())
-		if err != nil {
-			return c.SendStatus(400)
-		}
-		type said struct {
-			status int
-			body   any
-		}
-		got := make(chan said, 1)
-		h(request{method: c.Method(), path: u.Path, query: u.Query(), body: append([]byte(nil), c.Body()...)},
-			func(status int, body any) { got <- said{status, body} })
-		select {
-		case <-l.stop:
-			return c.SendStatus(503)
-		case a := <-got:
-			if raw, ok := a.body.([]byte); ok {
-				c.Set("Content-Type", "application/json")
-				return c.Status(a.status).Send(raw)
-			}
-			return c.Status(a.status).JSON(a.body)
-		}
-	})
+	addr := ln.Addr().String()
+	l.mu.Lock()
+	l.handlers[addr] = h
+	l.mu.Unlock()
+	go func() { _ = l.server.Serve(ln) }()
+	return addr, nil
+}
+
+// said is what a handler answers.
+type said struct {
+	status int
+	body   any
+}
+
+// serve answers a request by the handler of the address at which it came in.
+func (l *loopback) serve(c *fasthttp.RequestCtx) {
 	l.mu.Lock()
-	l.apps = append(l.apps, app)
+	h := l.handlers[c.LocalAddr().String()]
 	l.mu.Unlock()
-	go func() { _ = app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true}) }()
-	return ln.Addr().String(), nil
+	u, err := url.Parse(string(c.RequestURI()))
+	if err != nil || h == nil {
+		c.SetStatusCode(400)
+		return
+	}
+	got := make(chan said, 1)
+	h(request{method: string(c.Method()), path: u.Path, query: u.Query(), body: append([]byte(nil), c.PostBody()...)},
+		func(status int, body any) { got <- said{status, body} })
+	select {
+	case <-l.stop:
+		c.SetStatusCode(503)
+	case a := <-got:
+		raw, ok := a.body.([]byte)
+		if !ok {
+			raw, _ = json.Marshal(a.body)
+		}
+		c.SetContentType("application/json")
+		c.SetStatusCode(a.status)
+		c.SetBody(raw)
+	}
 }
 
 func (l *loopback) addresses(int) (public, back string, err error) {
@@ -108,9 +126,28 @@
 	return public, back, err
 }
 
-func (l *loopback) ask(_, addr, path string, body []byte, then func(int, []byte)) {
+// connsOfMachine is how many connections a machine may have to a controller: one, and one that was given up.
+const connsOfMachine = 2
+
+// client is a machine's own, or for "" that of everything that is late.
+func (l *loopback) client(machine string) *fasthttp.Client {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.clients[machine]
+	if c == nil {
+		c = &fasthttp.Client{Dial: fasthttp.Dial, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true, MaxIdleConnDuration: idleTimeout}
+		if machine != "" {
+			c.MaxConnsPerHost = connsOfMachine
+		}
+		l.clients[machine] = c
+	}
+	return c
+}
+
+func (l *loopback) ask(machine, _, addr, path string, body []byte, then func(int, []byte)) {
+	client := l.client(machine)
 	go func() {
-		status, answer := send(l.client, addr, path, "", body)
+		status, answer := send(client, addr, path, "", body)
 		select {
 		case <-l.stop:
 		default:
@@ -121,12 +158,17 @@
 
 func (l *loopback) close() {
 	close(l.stop)
+	done := make(chan struct{})
+	go func() { _ = l.server.Shutdown(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(100 * time.Millisecond):
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, a := range l.apps {
-		_ = a.ShutdownWithTimeout(100 * time.Millisecond)
+	for _, c := range l.clients {
+		c.CloseIdleConnections()
 	}
-	l.client.CloseIdleConnections()
 }
 
 // jitter draws a time between half and one and a half of a mean.
--- a/internal/world/machine.go
+++ b/internal/world/machine.go
@@ -473,6 +473,8 @@
 	w.expire(now, m)
 	r := w.report(now, m)
 	body, _ := json.Marshal(r)
+	w.stats.Reports++
+	w.stats.ReportBytes += uint64(len(body))
 	m.reported, m.lastSent = m.said(), now
 	m.next = now + seconds(w.cfg.Workers.ReportS*(0.75+0.5*w.rng.Float64()))
 	to, life, mute, shut := w.settings[m.keeper].Public, m.life, now < m.muteTill, now < m.shutTill
@@ -491,7 +493,7 @@
 		w.ground.after(0, func() { heard(0, nil) })
 		return
 	}
-	w.ground.ask(m.zone, to, "/checkin", body, func(status int, answer []byte) {
+	w.ground.ask(m.Name, m.zone, to, "/checkin", body, func(status int, answer []byte) {
 		w.mu.Lock()
 		deaf := w.now() < m.deafTill
 		if deaf {
@@ -538,6 +540,7 @@
 		return
 	}
 	w.expire(now, m)
+	w.stats.AnswerBytes += uint64(len(body))
 	if m.dead || m.session != session || now-sent > reportWait {
 		return
 	}
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -108,9 +108,12 @@
 		}
 		writes = float64(len(t.Then))
 	}
+	w.stats.StateRequests++
 	if !w.reqs.take(now, 1) || !w.writes.take(now, writes) {
+		w.stats.StateRefused++
 		return 429, nil
 	}
+	w.stats.StateWrites += int(writes)
 	rev := w.svc.Rev
 	w.svc.Now = now
 	path := q.path
--- a/internal/world/sim.go
+++ b/internal/world/sim.go
@@ -166,7 +166,7 @@
 	}
 }
 
-func (s *Sim) ask(zone, addr, path string, body []byte, then func(int, []byte)) {
+func (s *Sim) ask(_, zone, addr, path string, body []byte, then func(int, []byte)) {
 	s.exchange(zone, addr, request{method: "POST", path: path, body: body}, reportWait, s.severed(addr, FromWorkers), then)
 }
 
--- a/internal/world/troubles.go
+++ b/internal/world/troubles.go
@@ -143,7 +143,7 @@
 	w.stats.Copies++
 	d := c.least + time.Duration(w.rng.Float64()*float64(c.to-c.least))
 	to := w.settings[w.rng.IntN(w.cfg.Controllers)].Public
-	w.ground.after(d, func() { w.ground.ask(zone, to, path, body, func(int, []byte) {}) })
+	w.ground.after(d, func() { w.ground.ask("", zone, to, path, body, func(int, []byte) {}) })
 }
 
 // Counterpart is whom a controller talks with.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -48,6 +48,11 @@
 	Stored map[string]json.RawMessage
 	// Linger is how long it counts a holder that it hears no more.
 	Linger time.Duration
+	// StateAddrs are the addresses, one for each controller, of a state service that another process plays; nil: this
+	// world plays it.
+	StateAddrs []string
+	// Limits is what each controller may use of its machine.
+	Limits config.Limits
 }
 
 func or[T comparable](given, otherwise T) T {
@@ -76,6 +81,8 @@
 	c.Workers = or(c.Workers, config.Workers{ReportS: 0.5, LeaseS: 6, GangWaitS: 10, GangPeerS: 2, CancelS: 20})
 	c.State = or(c.State, config.State{RPS: 2000, WriteRPS: 600, ValueKB: 32, TxnOps: 40})
 	c.Cloud = or(c.Cloud, config.Cloud{RPS: 20, ListLagS: 0.5})
+	cores, mem, sockets := 1.0, 512.0, 4096
+	c.Limits = or(c.Limits, config.Limits{Cores: &cores, MemMB: &mem, Sockets: &sockets})
 }
 
 // World is what is played.
@@ -146,6 +153,12 @@
 	// LateWrites counts the transactions that got no answer and were carried out late, LostAnswers those carried out at once
 	// whose answer was lost.
 	LateWrites, LostAnswers int
+	// Reports counts those that were sent, ReportBytes and AnswerBytes the bodies of reports and of their answers.
+	Reports                  int
+	ReportBytes, AnswerBytes uint64
+	// StateRequests counts what the state service was asked, StateWrites the changes carried out or tried, StateRefused
+	// what it refused for its rates.
+	StateRequests, StateWrites, StateRefused int
 	// Kept counts copies of reports that were kept for a new leader and delivered as its term began, or once it had acted.
 	Kept int
 	// CloseLooks counts what users looked at closely, CalledOff jobs that they called off as they ran or ended, Odd their odd
@@ -190,7 +203,7 @@
 		return nil, err
 	}
 	for i := range cfg.Controllers {
-		svc, err := on.listen(fmt.Sprintf("state-%d", i), "", func(q request, reply answer) { w.state(i, q, reply) })
+		svc, err := w.stateAddr(i)
 		if err != nil {
 			return nil, err
 		}
@@ -200,9 +213,8 @@
 		}
 		s := config.Settings{Node: fmt.Sprintf("node-%d", i), Zone: cfg.Zones[i%len(cfg.Zones)], Public: public, Back: back,
 			Services: config.Services{Cloud: cloud, State: svc}}
-		cores, mem, sockets := 1.0, 512.0, 4096
 		s.Params = config.Params{Zones: cfg.Zones, Teams: cfg.Teams, Workers: cfg.Workers, State: cfg.State, Cloud: cfg.Cloud,
-			Limits: config.Limits{Cores: &cores, MemMB: &mem, Sockets: &sockets}, SkewMS: 100}
+			Limits: cfg.Limits, SkewMS: 100}
 		w.settings = append(w.settings, s)
 	}
 	for i := range w.settings {
@@ -216,6 +228,31 @@
 	return w, nil
 }
 
+// stateAddr is where a controller finds the state service.
+func (w *World) stateAddr(controller int) (string, error) {
+	if w.cfg.StateAddrs != nil {
+		return w.cfg.StateAddrs[controller], nil
+	}
+	return w.ground.listen(fmt.Sprintf("state-%d", controller), "", func(q request, reply answer) { w.state(controller, q, reply) })
+}
+
+// StateAddr is where a controller finds the state service, by its settings.
+func (w *World) StateAddr(controller int) string { return w.settings[controller].Services.State }
+
+// Boot rents machines of the first type, spread over its zones, as if they had been up before the world's start.
+func (w *World) Boot(n int) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := w.cfg.Types[0]
+	t.BootS = 0
+	for i := range n {
+		if _, err := w.boot(w.now(), t, t.Zones[i%len(t.Zones)], false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // at makes a handler of one that answers at once.
 func at(f func(request) (int, any)) handler {
 	return func(q request, reply answer) { reply(f(q)) }
