Fleet: plans read, lanes, occupancy, ranks, reports and commands in files of their own

Change: declarations moved as they were: load.go, lanes.go, occupancy.go, estimate.go, rank.go, observe.go, commands.go; hearing.go is liveness.go, gather.go batch.go, held.go backfill.go. Result: tests of the package pass; no behaviour changed.

--- a/internal/fleet/gather.go
+++ b/internal/fleet/batch.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"log/slog"
-	"time"
 
 	"github.com/harewalk/harewalk/internal/jobs"
 	"github.com/harewalk/harewalk/internal/pages"
@@ -216,34 +215,3 @@
 		f.Unreadable(key, raw, cause)
 	}
 }
-
-// seal shuts a chunk whose stored value can't be read: any of its tasks may be on any machine. It is neither planned
-// nor written over, and counts in full against the limits for as long as this term lasts.
-func (f *Fleet) seal(now time.Duration, j *jobs.Job, c *jobs.Chunk) {
-	if c.Sealed {
-		return
-	}
-	c.Sealed, j.Sealed = true, true
-	for i := range c.Durable {
-		t := int32(c.No*jobs.ChunkTasks + i)
-		if k := &j.Tasks[t]; !k.State.Occupies() && k.State != jobs.Finished {
-			f.Gate.Take(now, seatRef(j, t), 0, claimOf(j))
-		}
-	}
-}
-
-// sealOlder shuts every chunk of a job that is not over whose value is older than a page that can't be read: it
-// may stand there anew.
-func (f *Fleet) sealOlder(now time.Duration, found map[*jobs.Chunk]uint64, page uint64) {
-	f.Book.All(func(j *jobs.Job) {
-		if j.Stance == jobs.Done || j.Spec == nil {
-			return
-		}
-		j.Open()
-		for _, c := range j.Chunks {
-			if found[c] < page {
-				f.seal(now, j, c)
-			}
-		}
-	})
-}
--- /dev/null
+++ b/internal/fleet/load.go
@@ -0,0 +1,204 @@
+package fleet
+
+import (
+	"cmp"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/pages"
+	"github.com/harewalk/harewalk/internal/store"
+)
+
+// Load takes over the durable plans of earlier terms: every machine named there counts as
+// running its task until a fenced report or the end of its lease says otherwise.
+func (f *Fleet) Load(now time.Duration, items []store.Item) {
+	for _, it := range items {
+		if strings.HasPrefix(it.Key, imagesKey) {
+			f.loadImages(now, it)
+		}
+	}
+	found := map[*jobs.Chunk]uint64{}
+	for _, id := range f.Book.Unreads() {
+		f.unread[id] = true
+	}
+	values, lost := f.values(items)
+	for _, v := range values {
+		if c := f.loadChunk(now, v); c != nil {
+			found[c] = v.version
+		}
+	}
+	if lost > 0 {
+		f.sealOlder(now, found, lost)
+	}
+	f.Book.Live(func(j *jobs.Job) {
+		j.Open()
+		if j.Spec.Kind == jobs.Gang && j.DoneN > 0 {
+			f.gangDone(now, j)
+		}
+	})
+	f.Book.All(func(j *jobs.Job) {
+		if j.Stance.Terminal() && j.Tasks != nil {
+			f.over = append(f.over, j)
+		}
+	})
+	f.loaded = true
+	f.Rank(now)
+	slog.Info("plans loaded", "term", f.Term, "keys", len(items), "jobs", len(f.order), "machines", len(f.machines))
+}
+
+// value is one chunk's value as it was read, from a page or from a key of its own.
+type value struct {
+	name    string
+	raw     json.RawMessage
+	version uint64
+	page    int // -1: a key of its own
+}
+
+// values lists what counts of the stored plans, each chunk once: of two places the one written last. The pages are
+// taken over; lost is the version of the newest one that can't be read, 0: all can.
+func (f *Fleet) values(items []store.Item) (kept []value, lost uint64) {
+	var all []value
+	var read []pages.Stored
+	for _, it := range items {
+		switch {
+		case strings.HasPrefix(it.Key, imagesKey):
+		case strings.HasPrefix(it.Key, jobs.PlanPages):
+			s, err := pages.Decode(jobs.PlanPages, it.Key, it.Value, it.Version)
+			if err != nil {
+				f.unreadable(it.Key, it.Value, err)
+				f.pages.Reserve(s.No)
+				lost = max(lost, it.Version)
+				continue
+			}
+			read = append(read, s)
+			for name, raw := range s.Values {
+				all = append(all, value{name, raw, it.Version, s.No})
+			}
+		default:
+			all = append(all, value{strings.TrimPrefix(it.Key, jobs.PlanPrefix), it.Value, it.Version, -1})
+		}
+	}
+	slices.SortFunc(all, func(a, b value) int { return cmp.Or(cmp.Compare(a.name, b.name), cmp.Compare(b.version, a.version)) })
+	live := map[int][]pages.Entry{}
+	kept = all[:0]
+	for i, v := range all {
+		if i > 0 && all[i-1].name == v.name {
+			if v.page < 0 {
+				f.garbage = append(f.garbage, jobs.PlanPrefix+v.name)
+			}
+			continue
+		}
+		kept = append(kept, v)
+		if id, no, ok := splitPlanName(v.name); ok && v.page >= 0 {
+			ref := pages.Ref{A: -1 - int32(i), B: int32(no)}
+			if j := f.Book.Get(id); j != nil {
+				ref.A = int32(j.Index)
+			} else if !f.Book.Unread(id) {
+				continue
+			} // else its record can't be read: the plan stays, wherever its page is written, under a number that no job has
+			live[v.page] = append(live[v.page], pages.Entry{Ref: ref, Name: v.name, Raw: v.raw})
+		}
+	}
+	for _, s := range read {
+		f.pages.Load(s.No, s.Version, live[s.No])
+	}
+	return kept, lost
+}
+
+// loadChunk takes over one chunk and returns it, nil if it is nobody's any more.
+func (f *Fleet) loadChunk(now time.Duration, v value) *jobs.Chunk {
+	key := jobs.PlanPrefix + v.name
+	id, no, ok := splitPlanName(v.name)
+	j := f.Book.Get(id)
+	drop := func() {
+		if v.page >= 0 {
+			if j != nil {
+				f.pages.Drop(pages.Ref{A: int32(j.Index), B: int32(no)})
+			}
+			return
+		}
+		f.garbage = append(f.garbage, key)
+	}
+	if !ok || j == nil || j.Stance == jobs.Done || j.Spec == nil {
+		if j == nil && f.Book.Unread(id) {
+			return nil // its record can't be read: its plan is nobody's to drop
+		}
+		drop()
+		return nil
+	}
+	j.Open()
+	if no >= len(j.Chunks) {
+		drop()
+		return nil
+	}
+	c := j.Chunks[no]
+	on, done, err := jobs.DecodeChunk(v.raw, len(c.Durable), func(name string) int32 { return f.Machine(now, name).Index })
+	if v.page < 0 {
+		c.Version = v.version
+	}
+	if err != nil {
+		f.unreadable(key, v.raw, err)
+		f.seal(now, j, c)
+		return c
+	}
+	for i := range on {
+		t := int32(no*jobs.ChunkTasks + i)
+		switch {
+		case done[i]:
+			c.Durable[i] = jobs.DurablyDone
+			f.must(j.Set(t, jobs.Finished))
+		case on[i] != jobs.None:
+			c.Durable[i] = on[i]
+			j.Tasks[t].Machine = on[i]
+			j.Started = true
+			f.place(now, j, t, jobs.Recovered)
+		}
+	}
+	return c
+}
+
+// splitPlanName reads a chunk's name: its job and number.
+func splitPlanName(name string) (id string, no int, ok bool) {
+	i := strings.LastIndexByte(name, '/')
+	if i <= 0 {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(name[i+1:])
+	return name[:i], n, err == nil && n >= 0
+}
+
+// seal shuts a chunk whose stored value can't be read: any of its tasks may be on any machine. It is neither planned
+// nor written over, and counts in full against the limits for as long as this term lasts.
+func (f *Fleet) seal(now time.Duration, j *jobs.Job, c *jobs.Chunk) {
+	if c.Sealed {
+		return
+	}
+	c.Sealed, j.Sealed = true, true
+	for i := range c.Durable {
+		t := int32(c.No*jobs.ChunkTasks + i)
+		if k := &j.Tasks[t]; !k.State.Occupies() && k.State != jobs.Finished {
+			f.Gate.Take(now, seatRef(j, t), 0, claimOf(j))
+		}
+	}
+}
+
+// sealOlder shuts every chunk of a job that is not over whose value is older than a page that can't be read: it
+// may stand there anew.
+func (f *Fleet) sealOlder(now time.Duration, found map[*jobs.Chunk]uint64, page uint64) {
+	f.Book.All(func(j *jobs.Job) {
+		if j.Stance == jobs.Done || j.Spec == nil {
+			return
+		}
+		j.Open()
+		for _, c := range j.Chunks {
+			if found[c] < page {
+				f.seal(now, j, c)
+			}
+		}
+	})
+}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -1,9 +1,11 @@
 package fleet
 
 import (
+	"log/slog"
 	"slices"
 	"time"
 
+	"github.com/harewalk/harewalk/internal/events"
 	"github.com/harewalk/harewalk/internal/jobs"
 	"github.com/harewalk/harewalk/internal/planner"
 )
@@ -200,3 +202,60 @@
 		}
 	}
 }
+
+// Machine finds or makes a machine by name.
+func (f *Fleet) Machine(now time.Duration, name string) *Machine {
+	if m, ok := f.byName[name]; ok {
+		return m
+	}
+	m := &Machine{Index: int32(len(f.machines)), Name: name, Type: jobs.None, Zone: jobs.None, Created: now,
+		Answered: now, Heard: now, IdleSince: now, On: map[Ref]struct{}{},
+		late: map[attempt]struct{}{}, slow: 1, Token: f.Term << tokenBits}
+	m.images = f.hints[name]
+	f.machines = append(f.machines, m)
+	f.byName[m.Name] = m
+	return m
+}
+
+// Find finds a machine by name, or nil.
+func (f *Fleet) Find(name string) *Machine { return f.byName[name] }
+
+// Describe notes what the list or a report tells of a machine.
+func (f *Fleet) Describe(m *Machine, addr, typ, zone string, spot bool) {
+	d := f.Book.Door
+	z := d.Zones.Index(zone)
+	if m.Zone == jobs.None {
+		// Recovered tasks were counted before their machine's zone was known.
+		for r := range m.On {
+			j := f.job(r.Job)
+			j.ZoneUse[jobs.None]--
+			j.ZoneUse[z]++
+		}
+	}
+	m.Addr, m.Type, m.Zone, m.Spot = addr, d.Types.Index(typ), z, spot
+	f.size(m)
+}
+
+func (f *Fleet) size(m *Machine) {
+	if t := f.typ(m); t != nil {
+		f.kinds[m.Type] = true
+		m.Size = t.Size
+	}
+}
+
+func (f *Fleet) typ(m *Machine) *Type {
+	if m.Type == jobs.None {
+		return nil
+	}
+	return f.Types(m.Type)
+}
+
+// condition is the only place where a machine's condition changes.
+func (f *Fleet) condition(m *Machine, c Condition, cause string) {
+	if m.Condition == c {
+		return
+	}
+	slog.Info("machine", "name", m.Name, "from", m.Condition.String(), "to", c.String(), "term", f.Term, "cause", cause)
+	m.Condition = c
+	f.Events.Add(events.Event{At: f.Now(), Kind: events.Machine, Machine: m.Index, Note: c.String()})
+}
--- /dev/null
+++ b/internal/fleet/observe.go
@@ -0,0 +1,265 @@
+package fleet
+
+import (
+	"cmp"
+	"log/slog"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/events"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/licences"
+)
+
+// tasks compares the list of a fenced report with what is known.
+func (f *Fleet) tasks(now time.Duration, m *Machine, r *Report, direct bool) {
+	clear(f.listed)
+	// Exits first: a refused attempt may stand beside the one that runs.
+	for i := range r.Tasks {
+		e := &r.Tasks[i]
+		if e.job, e.no = f.resolve(e.Task); e.job != nil && e.State != exited {
+			f.listed[Ref{e.job.Index, e.no}] = struct{}{}
+		}
+	}
+	for i := range r.Tasks {
+		e := &r.Tasks[i]
+		if e.job == nil || e.job.Tasks == nil {
+			continue
+		}
+		if e.State == exited {
+			_, again := f.listed[Ref{e.job.Index, e.no}]
+			f.exit(now, m, e.job, e.no, e, again)
+		} else {
+			f.live(now, m, e.job, e.no, e)
+		}
+	}
+	missing := f.refs[:0]
+	for ref := range m.On {
+		if _, ok := f.listed[ref]; !ok {
+			missing = append(missing, ref)
+		}
+	}
+	f.refs = missing
+	sortRefs(missing)
+	for _, ref := range missing {
+		f.missing(now, m, ref, direct)
+	}
+}
+
+func sortRefs(rs []Ref) {
+	slices.SortFunc(rs, func(a, b Ref) int { return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task)) })
+}
+
+func (f *Fleet) resolve(name string) (*jobs.Job, int32) {
+	id, t, ok := splitTask(name)
+	if !ok {
+		return nil, 0
+	}
+	j := f.Book.Get(id)
+	if j == nil || int(t) >= j.N {
+		return nil, 0
+	}
+	return j, t
+}
+
+func phaseOf(state string) jobs.Phase {
+	switch state {
+	case fetching:
+		return jobs.Fetching
+	case waiting:
+		return jobs.Waiting
+	case running:
+		return jobs.Running
+	case saving:
+		return jobs.Saving
+	}
+	return jobs.NoPhase
+}
+
+// live takes over a task that is on the machine.
+func (f *Fleet) live(now time.Duration, m *Machine, j *jobs.Job, t int32, e *TaskReport) {
+	k := &j.Tasks[t]
+	if k.State == jobs.Finished {
+		return // commands will stop it
+	}
+	if k.State != jobs.Unplanned && k.Machine != m.Index {
+		if k.State.Occupies() {
+			slog.Error("task seen on a machine that it was not sent to", "task", e.Task, "machine", m.Name,
+				"expected", f.machines[k.Machine].Name, "term", f.Term)
+			return
+		}
+		f.dropLane(j, t) // planned elsewhere, but it is here
+		f.must(j.Set(t, jobs.Unplanned))
+	}
+	if k.State == jobs.Planned {
+		f.dropLane(j, t)
+	}
+	if k.State != jobs.OnMachine {
+		if k.Machine != m.Index {
+			k.Machine = m.Index
+			j.Touch(t, true, now)
+		}
+		if k.Since == 0 || !k.State.Occupies() {
+			k.Since = now
+		}
+		f.place(now, j, t, jobs.OnMachine)
+		k.Attempt = e.Attempt
+		j.Attempt = max(j.Attempt, e.Attempt)
+		j.Started = true
+		if j.Stance.Terminal() || j.Parked {
+			f.halt(j, t)
+		}
+	}
+	k.Attempt = e.Attempt
+	if len(j.Seats) > 0 {
+		f.Gate.Seats.Attempt(now, seatRef(j, t), e.Attempt, j.Seats)
+	}
+	k.Late = false
+	p := phaseOf(e.State)
+	if p == jobs.Running && k.Phase != jobs.Running {
+		k.RunSince = now
+		f.happened(now, events.TaskRunning, j, t, "")
+	}
+	if k.Phase != p {
+		j.Enter(t, p)
+		m.endsOK = false
+	}
+}
+
+// exit takes over the end of a task. again tells that another attempt of it is listed as
+// alive on the same machine.
+func (f *Fleet) exit(now time.Duration, m *Machine, j *jobs.Job, t int32, e *TaskReport, again bool) {
+	k := &j.Tasks[t]
+	if e.Why == whyDone {
+		if j.Stance.Terminal() {
+			if k.State.Occupies() && k.Machine == m.Index {
+				f.release(now, j, t, jobs.Unplanned, licences.Clean)
+			}
+			return
+		}
+		if k.State.Occupies() && (k.Machine != m.Index || again || (k.Late && k.Attempt != e.Attempt)) {
+			// It is done, but another attempt may be on a machine: that counts until it
+			// is seen to be gone.
+			k.Done = true
+			f.halt(j, t)
+			return
+		}
+		f.finish(now, m, j, t, true)
+		if j.Spec.Kind == jobs.Gang {
+			f.gangDone(now, j)
+		}
+		return
+	}
+	mine := k.Machine == m.Index && k.State.Occupies() && (k.Attempt == e.Attempt || k.State == jobs.Recovered)
+	if !mine || again {
+		return
+	}
+	if e.Why == whyBusy {
+		// Another attempt of it is here: the next report lists it, or nothing of it.
+		return
+	}
+	slog.Info("task ended", "task", e.Task, "machine", m.Name, "cause", e.Why, "saved", e.Saved, "term", f.Term)
+	f.Events.Add(events.Event{At: now, Kind: events.TaskEnded, Job: j.ID, Task: t, Machine: m.Index, Attempt: k.Attempt, Note: e.Why, Saved: e.Saved})
+	f.release(now, j, t, jobs.Unplanned, endOf(e.Why))
+	j.Touch(t, false, now)
+	switch e.Why {
+	case whyError:
+		k.Fails = min(k.Fails+1, 6)
+		k.Until = now + time.Second<<k.Fails
+		f.avoid(now, m, j)
+		f.failed(now, m, j, t)
+	case whyNoRoom, whyUnknown:
+		k.Until = now + 2*time.Second
+	}
+}
+
+// avoid keeps a job off a machine on which one of its tasks failed.
+func (f *Fleet) avoid(now time.Duration, m *Machine, j *jobs.Job) {
+	if j.Avoid == nil {
+		j.Avoid = map[int32]time.Duration{}
+	}
+	j.Avoid[m.Index] = now + avoidFor
+	for _, t := range slices.Clone(m.waiting(j.Index)) {
+		f.dropLane(j, t)
+		f.must(j.Set(t, jobs.Unplanned))
+	}
+}
+
+// gangDone follows from one task of a gang being done: every one is. Those that may still
+// be on a machine count there until they are seen to be gone, since a task that is started
+// again after its gang was done is on its machine for a moment before it exits.
+func (f *Fleet) gangDone(now time.Duration, j *jobs.Job) {
+	j.GangDone = true
+	for t := range j.Tasks {
+		if !j.Tasks[t].State.Occupies() {
+			f.finish(now, nil, j, int32(t), false)
+		}
+	}
+}
+
+// finish records a task's completion.
+func (f *Fleet) finish(now time.Duration, m *Machine, j *jobs.Job, t int32, seen bool) {
+	k := &j.Tasks[t]
+	if k.State == jobs.Finished {
+		return
+	}
+	if seen && k.Machine == m.Index && k.Phase == jobs.Running {
+		f.learn(j, m, (now - k.RunSince).Seconds(), k.Fails == 0)
+		f.proves(j, m)
+	}
+	if k.State == jobs.Planned {
+		f.dropLane(j, t)
+	}
+	f.happened(now, events.TaskDone, j, t, "")
+	f.release(now, j, t, jobs.Finished, licences.Clean)
+	j.Touch(t, false, now)
+	if j.DoneN == j.N {
+		slog.Info("all tasks done", "job", j.ID, "term", f.Term)
+	}
+}
+
+// learn compares a run time with its estimate.
+func (f *Fleet) learn(j *jobs.Job, m *Machine, ran float64, clean bool) {
+	if j.Spec.EstimateS <= 0 || ran < 2 || !clean || j.Spec.CheckpointS > 0 && j.Attempt != 0 && ran < j.Spec.EstimateS/4 {
+		return
+	}
+	s := f.stats(j.Class)
+	r := math.Min(8, math.Max(0.1, ran/j.Spec.EstimateS))
+	// One job's tasks share its owner's error: a job counts once, not once a task.
+	w := 1 / math.Sqrt(float64(j.N))
+	rate := math.Max(w/(s.n+w), w*0.1)
+	m.slow += 0.2 * (math.Min(6, math.Max(0.5, r/s.ratio)) - m.slow)
+	s.ratio = math.Exp((1-rate)*math.Log(s.ratio) + rate*math.Log(r))
+	s.n += w
+}
+
+// missing handles a task that should be on the machine but is not listed by a fenced
+// report.
+func (f *Fleet) missing(now time.Duration, m *Machine, ref Ref, direct bool) {
+	j := f.job(ref.Job)
+	k := &j.Tasks[ref.Task]
+	switch k.State {
+	case jobs.Launched:
+		// Its launch went out directly, in an answer that is still under way (a direct
+		// report says nothing of that), or in one that the worker dropped. Only in the
+		// last case it surely won't start any more: it is sent again or given up.
+		if (j.Stance.Terminal() || m.Condition != Acting) && !k.Late && !direct {
+			f.release(now, j, ref.Task, jobs.Unplanned, licences.Unstarted)
+		}
+	case jobs.Recovered:
+		to := jobs.Planned
+		if j.Stance.Terminal() || j.Spec.Kind != jobs.Array || m.Condition != Acting {
+			to = jobs.Unplanned
+		}
+		// It may have run and crashed under the owner before.
+		f.release(now, j, ref.Task, to, licences.Crashed)
+	case jobs.OnMachine:
+		slog.Info("task vanished", "job", j.ID, "task", ref.Task, "machine", m.Name, "term", f.Term)
+		f.happened(now, events.TaskVanished, j, ref.Task, "")
+		f.release(now, j, ref.Task, jobs.Unplanned, licences.Crashed)
+		if !j.Stance.Terminal() {
+			j.Touch(ref.Task, false, now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/rank.go
@@ -0,0 +1,116 @@
+package fleet
+
+import (
+	"sort"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/planner"
+)
+
+// due is when a job's next start should have happened at the latest, and whether any of
+// its aims can still be met.
+func (f *Fleet) due(now time.Duration, j *jobs.Job) (time.Duration, bool) {
+	best, ok := time.Duration(1<<62), false
+	est := config.Seconds(f.estimate(j))
+	consider := func(d time.Duration) {
+		if d >= now && d < best {
+			best, ok = d, true
+		}
+	}
+	if j.Spec.DeadlineS != nil {
+		consider(j.At + config.Seconds(*j.Spec.DeadlineS) - est)
+	}
+	for _, o := range f.Settings.Params.Objectives {
+		if o.Kind == "guarantee" && f.within[j.Index] && !j.Started {
+			consider(j.At + config.Seconds(o.WithinS))
+		}
+		if o.Class != j.Spec.Class {
+			continue
+		}
+		switch o.Kind {
+		case "wait":
+			if !j.Started {
+				consider(j.At + config.Seconds(o.WithinS))
+			}
+		case "finished":
+			consider(j.At + config.Seconds(o.WithinS) - est)
+		case "deadline":
+			if j.Spec.DeadlineS != nil && o.Times > 1 {
+				consider(j.At + config.Seconds(*j.Spec.DeadlineS*o.Times) - est)
+			}
+		}
+	}
+	if !ok {
+		return j.At, false
+	}
+	return best, true
+}
+
+// rankKey is a job's place among its equals: its latest useful start, and whether an aim
+// can still be met.
+type rankKey struct {
+	due time.Duration
+	ok  bool
+}
+
+// Rank orders the live jobs: what lies within its team's guarantee first, then by
+// priority, then the latest start that still meets an aim; jobs past all aims come last, oldest
+// first.
+func (f *Fleet) Rank(now time.Duration) {
+	f.ranked = now
+	for _, j := range f.order {
+		j.Place = 0
+	}
+	f.order = f.order[:0]
+	f.Book.Live(func(j *jobs.Job) {
+		if j.Tasks != nil && j.Spec != nil {
+			f.order = append(f.order, j)
+		}
+	})
+	sort.Slice(f.order, func(a, b int) bool {
+		if f.order[a].At != f.order[b].At {
+			return f.order[a].At < f.order[b].At
+		}
+		return f.order[a].ID < f.order[b].ID
+	})
+	demand := map[int32]planner.Size{}
+	clear(f.within)
+	keys := make(map[jobs.Index]rankKey, len(f.order))
+	for _, j := range f.order {
+		s := j.Spec.Size()
+		n := float64(j.N - j.DoneN)
+		sum := demand[j.Team].Add(planner.Size{CPUs: s.CPUs * n, GPUs: s.GPUs * n})
+		demand[j.Team] = sum
+		f.within[j.Index] = f.Gate.Quota.Within(j.Team, s, sum)
+		d, ok := f.due(now, j)
+		keys[j.Index] = rankKey{d, ok}
+	}
+	f.sortByRank(f.order, keys)
+	f.yieldPlaces(now, keys)
+	f.beginFirst(now)
+	for i, j := range f.order {
+		j.Place = i + 1
+	}
+}
+
+// sortByRank orders jobs among which equal ones keep their places.
+func (f *Fleet) sortByRank(js []*jobs.Job, keys map[jobs.Index]rankKey) {
+	sort.SliceStable(js, func(a, b int) bool {
+		x, y := js[a], js[b]
+		// What may preempt the other must also rank before it, or the room it made
+		// would be taken by its victims again.
+		if wx, wy := f.within[x.Index], f.within[y.Index]; wx != wy {
+			return wx
+		}
+		if x.Level != y.Level {
+			return x.Level > y.Level
+		}
+		kx, ky := keys[x.Index], keys[y.Index]
+		if kx.ok != ky.ok {
+			return kx.ok
+		}
+		return kx.due < ky.due
+	})
+}
