--- /dev/null
+++ b/internal/controller/status.go
@@ -0,0 +1,88 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/peers"
+)
+
+// heard is the last status of another controller.
+type heard struct {
+	peers.Status
+	at time.Duration
+}
+
+func (c *Controller) counts(j *jobs.Job) (done, running int) {
+	if c.fleet != nil && j.Tasks != nil {
+		return c.fleet.Counts(j)
+	}
+	return j.DoneN, j.RunningN
+}
+
+// hear takes what another controller says of itself.
+func (c *Controller) hear(s peers.Status) {
+	c.status[s.Node] = heard{s, c.loop.Now()}
+	c.roll.Heard(c.loop.Now(), s.Node, s.StateOK && !s.Leaving)
+	c.display(s)
+}
+
+// display takes over the leader's counts.
+func (c *Controller) display(s peers.Status) {
+	if c.fleet != nil || !s.Leading || s.Term < c.mem.Leader().Term {
+		return
+	}
+	for _, n := range s.Counts {
+		if j := c.book.Get(n.Job); j != nil && !j.Stance.Terminal() {
+			j.DoneN, j.RunningN = int(n.Done), int(n.Running)
+		}
+	}
+}
+
+// up tells the load balancer whether users are well served here. When the state service
+// answers nobody, this controller is as good as any other.
+func (c *Controller) up() bool {
+	now := c.loop.Now()
+	if !c.mir.Synced() || len(c.types) == 0 || c.life != Serving || !c.roll.Fit() {
+		return false
+	}
+	if now-c.store.LastOK() < 3*time.Second {
+		return true
+	}
+	peers := false
+	for _, h := range c.status {
+		if now-h.at < heardFor {
+			if h.StateOK {
+				return false
+			}
+			peers = true
+		}
+	}
+	// Who hears neither the state service nor any other controller is cut off, and must not keep its users: an
+	// outage is told by answers of 503, and by others that are told the same.
+	return peers || len(c.s.Peers) == 0 || now-c.store.LastHeard() < 3*time.Second
+}
+
+// tell sends the others a status.
+func (c *Controller) tell(now time.Duration) {
+	if now-c.statusAt < time.Second {
+		return
+	}
+	c.statusAt = now
+	s := peers.Status{Node: c.s.Node, Leading: c.fleet != nil, StateOK: now-c.store.LastOK() < 2500*time.Millisecond,
+		Workers: c.strays.count(now, config.Seconds(c.s.Params.Workers.ReportS), 0), Leaving: c.life != Serving}
+	if c.fleet != nil {
+		s.Term = c.mem.Term()
+		c.book.Live(func(j *jobs.Job) {
+			if j.Tasks != nil && len(s.Counts) < 2000 {
+				d, r := c.fleet.Counts(j)
+				s.Counts = append(s.Counts, peers.Count{Job: j.ID, Done: uint32(d), Running: uint32(r)})
+			}
+		})
+	}
+	raw := peers.Encode(s)
+	for _, l := range c.links {
+		l.Send(raw)
+	}
+}
