--- /dev/null
+++ b/internal/capacity/judge.go
@@ -0,0 +1,138 @@
+package capacity
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/events"
+	"github.com/harewalk/harewalk/internal/fleet"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/zones"
+)
+
+// judgeEvery spaces the looks at every machine. All that they judge is counted in seconds.
+const judgeEvery = 250 * time.Millisecond
+
+// judge finds machines that should go, if steady tells that authority has lasted long enough
+// to hear every worker that can reach this controller: boots that never come up, silent and faulty
+// machines, and idle ones where money counts.
+func (c *Manager) judge(now time.Duration, steady bool) {
+	for name, b := range c.boots {
+		if m := c.Fleet.Find(name); m != nil && m.Session > 0 {
+			c.took.took(b.offer, now-b.since)
+			delete(c.boots, name)
+			continue
+		}
+		// Some take several times as long as usual; far beyond that it is one of the
+		// few that never come up.
+		if t := c.typ(b.typ); t != nil && now-b.since > c.took.givenUp(b.offer, t.BootS) {
+			c.toReturn[name] = "never came up"
+		}
+	}
+	c.judgeZones(now)
+	up, silent, idle := 0, 0, 0
+	limit := config.Seconds(c.Settings.Operator.SilentS)
+	for _, m := range c.Fleet.Machines() {
+		if m.Condition.There() {
+			up++
+			if len(m.On) == 0 && m.Planned == 0 {
+				idle++
+			}
+			if now-m.Heard > limit {
+				silent++
+			}
+		}
+	}
+	c.excess = excess(up, idle, c.Settings.Operator.Headroom)
+	// Many silent at once speak for a cut between us and them, not for their death.
+	trust := steady && silent > 0 && silent <= max(1, up/4)
+	for _, m := range c.Fleet.Machines() {
+		quiet := now - m.Heard
+		if quiet > limit && c.Zones.Keeps(now, m.Zone, c.cutPatience(m)) {
+			continue
+		}
+		switch m.Condition {
+		case fleet.Acting, fleet.Known, fleet.Deaf:
+			switch {
+			case quiet > limit && trust:
+				c.toReturn[m.Name] = "silent"
+			case m.Condition == fleet.Deaf && steady && silent < up && quiet > max(limit, c.cutPatience(m)):
+				// It talks, so it isn't us who are cut off: kept for as long as getting it back would be dearer.
+				c.toReturn[m.Name] = "deaf"
+			case m.Condition == fleet.Acting && c.Fleet.Faulty(m):
+				c.Fleet.Retire(m, "faulty")
+			case m.Condition == fleet.Acting && len(m.On) == 0 && m.Planned == 0 &&
+				now-m.IdleSince > c.idleLimit(m) && c.overBudget() && !c.Zones.Unsettled():
+				c.Fleet.Retire(m, "idle")
+			}
+		case fleet.Lost:
+			// However many they are: after a while what is kept in vain costs more than what it would spare.
+			if steady && quiet > 2*limit && now-m.Spoke > limit && (silent <= max(1, up/4) || quiet > 2*limit+c.cutPatience(m) && silent < up) {
+				c.toReturn[m.Name] = "lost"
+			}
+		}
+		if m.Retiring && m.Condition == fleet.Noticed && len(m.On) == 0 {
+			c.toReturn[m.Name] = "retired"
+		}
+	}
+}
+
+// QuietFor is after how long without a report a machine counts as quiet: a report is late, and another one due.
+func (c *Manager) QuietFor() time.Duration {
+	return config.Seconds(1.3*c.Settings.Params.Workers.ReportS + 1)
+}
+
+// zoneTurned tells of a zone's change of state.
+func (c *Manager) zoneTurned(now time.Duration, zone int32, from, to zones.State, n zones.Count) {
+	slog.Info("zone", "name", c.Door.Zones.Name(zone), "from", from.String(), "to", to.String(), "machines", n.Machines, "quiet", n.Quiet, "silent", n.Silent,
+		"flaps", c.Zones.Of(zone).Flaps, "term", c.Term)
+	c.Fleet.Events.Add(events.Event{At: now, Kind: events.Zone, Task: events.None, Machine: events.None, Note: c.Door.Zones.Name(zone) + " " + to.String()})
+}
+
+// judgeZones looks which zones have fallen silent, and puts what isn't heard there aside: returning it would cost a
+// boot and all cached images, and what is planned there would wait for nobody. So is a single machine, once it has been silent
+// for longer than one lost report explains: it may be cut off or reach nobody, and gangs were planned there until its lease
+// was over. Silence counts from when we could hear.
+func (c *Manager) judgeZones(now time.Duration) {
+	// Well before the first of them is given up, or many would be gone when it shows.
+	silent, quiet := config.Seconds(c.Settings.Operator.SilentS*0.6), c.QuietFor()
+	counts := map[int32]zones.Count{}
+	for _, m := range c.Fleet.Machines() {
+		if m.Condition == fleet.Gone || m.Zone == jobs.None {
+			continue
+		}
+		n := counts[m.Zone]
+		n.Machines++
+		switch q := now - max(m.Heard, c.since); {
+		case q > silent:
+			n.Silent++
+			n.Quiet++
+		case q > quiet:
+			n.Quiet++
+		}
+		counts[m.Zone] = n
+	}
+	c.Zones.Judge(now, counts)
+	late := c.Fleet.HearWithin()
+	for _, m := range c.Fleet.Machines() {
+		if q := now - max(m.Heard, c.since); m.Condition == fleet.Acting && q > quiet {
+			if st := c.Zones.Of(m.Zone).State; st == zones.Lost || st == zones.Returning || q > late {
+				c.Fleet.SetAside(m)
+			}
+		}
+	}
+}
+
+// cutPatience is how long a machine in a silent zone is kept: twice as long as getting it
+// back would take.
+func (c *Manager) cutPatience(m *fleet.Machine) time.Duration {
+	s := 60.0
+	if t := c.typ(m.Type); t != nil {
+		s = t.BootS
+		if t.FetchGB > 0 {
+			s += c.Fleet.ImageGB() / t.FetchGB
+		}
+	}
+	return config.Seconds(2 * s)
+}
--- /dev/null
+++ b/internal/capacity/rent.go
@@ -0,0 +1,284 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/fleet"
+	"github.com/harewalk/harewalk/internal/httpio"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/planner"
+)
+
+// offer is a kind of machine that can be asked for.
+type offer struct {
+	typ, zone int32
+	spot      bool
+}
+
+// before orders offers, so that equal ones are chosen alike every time.
+func (o offer) before(p offer) bool {
+	if o.typ != p.typ {
+		return o.typ < p.typ
+	}
+	if o.zone != p.zone {
+		return o.zone < p.zone
+	}
+	return o.spot && !p.spot
+}
+
+func (c *Manager) typ(ix int32) *MachineType {
+	if ix == jobs.None {
+		return nil
+	}
+	name := c.Door.Types.Name(ix)
+	for i, t := range c.Types() {
+		if t.Name == name {
+			return &c.Types()[i]
+		}
+	}
+	return nil
+}
+
+// eager scales the horizon: below 1, machines are rented for work that those at hand would
+// get to in time.
+const eager = 0.25
+
+// maxAsk is the protocol's bound on the machines of one request.
+const maxAsk = 50
+
+// bin is a machine, at hand or booting, with the work it can do within a horizon.
+type bin struct {
+	offer
+	room planner.Size // resource-seconds left
+}
+
+// rent fits the unfinished work into the machines at hand, as resource-seconds over the
+// time that a new machine would need to become useful, and rents for what is left over.
+func (c *Manager) rent(now time.Duration) {
+	types := c.Types()
+	if len(types) == 0 || !c.Fleet.Loaded() {
+		return
+	}
+	horizon := 0.0
+	for _, t := range types {
+		h := t.BootS
+		if t.FetchGB > 0 {
+			h += c.Fleet.ImageGB() / t.FetchGB
+		}
+		horizon = max(horizon, h)
+	}
+	horizon *= eager
+	var bins []*bin
+	total := len(c.boots)
+	clear(c.zones)
+	for _, m := range c.Fleet.Machines() {
+		if m.Condition == fleet.Lost || m.Condition == fleet.Gone {
+			continue
+		}
+		total++
+		if m.Condition == fleet.Acting {
+			c.zones[m.Zone]++
+		}
+		if m.Condition == fleet.Noticed || m.Condition == fleet.Deaf || m.Aside || m.Type == jobs.None || m.Size == (planner.Size{}) {
+			continue
+		}
+		b := &bin{offer{m.Type, m.Zone, m.Spot}, m.Size.Times(horizon)}
+		for _, u := range c.Fleet.Running(now, m) {
+			b.room = b.room.Sub(u.Size.Times(min(u.Left, horizon)))
+		}
+		bins = append(bins, b)
+	}
+	overdue := c.overdue(now)
+	for _, name := range slices.Sorted(maps.Keys(c.boots)) { // in one order: the same run rents the same
+		bt := c.boots[name]
+		c.zones[bt.zone]++ // or one request after the other would go to the same zone
+		// One that is far overdue is not counted on any more.
+		if t := c.typ(bt.typ); t != nil && !overdue[name] {
+			bins = append(bins, &bin{bt.offer, t.Size().Times(horizon)})
+		}
+	}
+	wanted := map[offer]int{}
+	for _, d := range c.Fleet.Demand(now) {
+		left := d.Tasks
+		each := min(max(d.Seconds, 1), horizon)
+		if d.Whole {
+			each = horizon
+		}
+		need := d.Job.Spec.Size().Times(each)
+		// What must stay apart finds no room in a zone that has its part already, however much is free there.
+		lim, use := d.Job.Spec.ZoneLimit(), map[int32]int(nil)
+		if lim > 0 {
+			use = c.Fleet.InZones(d.Job)
+		}
+		full := func(zone int32) bool { return lim > 0 && use[zone] >= lim }
+		for _, b := range bins {
+			if left == 0 {
+				break
+			}
+			if need.Fits(b.room) && d.Job.Allows(b.typ, b.zone, b.spot) && !full(b.zone) {
+				n := min(left, need.Copies(b.room))
+				if lim > 0 {
+					n = min(n, lim-use[b.zone])
+					use[b.zone] += n
+				}
+				b.room = b.room.Sub(need.Times(float64(n)))
+				left -= n
+			}
+		}
+		for left > 0 && total < c.Settings.Operator.MaxMachines {
+			o, ok := c.choose(now, d.Job, full)
+			if !ok {
+				break
+			}
+			b := &bin{o, c.typ(o.typ).Size().Times(horizon)}
+			n := min(left, need.Copies(b.room))
+			if n <= 0 {
+				break
+			}
+			if lim > 0 {
+				n = min(n, lim-use[o.zone])
+				use[o.zone] += n
+			}
+			b.room = b.room.Sub(need.Times(float64(n)))
+			left -= n
+			total++
+			bins = append(bins, b)
+			wanted[o]++
+		}
+	}
+	// One request a turn: the offer of which most are wanted.
+	var best offer
+	for o, n := range wanted {
+		if n > wanted[best] || (n == wanted[best] && o.before(best)) {
+			best = o
+		}
+	}
+	if n := wanted[best]; n > 0 {
+		c.ask(now, best, min(n, maxAsk))
+		return
+	}
+	c.spare(now, total)
+}
+
+// prices adds up what the fleet costs in an hour, and what of it stands idle or boots.
+func (c *Manager) prices() (all, idle float64) {
+	price := func(o offer) float64 {
+		t := c.typ(o.typ)
+		switch {
+		case t == nil:
+			return 0
+		case o.spot:
+			return t.Spot
+		}
+		return t.Price
+	}
+	for _, m := range c.Fleet.Machines() {
+		if m.Condition == fleet.Lost || m.Condition == fleet.Gone || m.Type == jobs.None {
+			continue
+		}
+		p := price(offer{m.Type, m.Zone, m.Spot})
+		all += p
+		if len(m.On) == 0 {
+			idle += p
+		}
+	}
+	for _, b := range c.boots {
+		all += price(b.offer)
+		idle += price(b.offer)
+	}
+	return all, idle
+}
+
+// spare rents ahead of need: a part of what the fleet costs may stand idle, so that a burst
+// does not have to wait for a boot. Each kind of job gets the cheapest machine for it.
+func (c *Manager) spare(now time.Duration, total int) {
+	all, idle := c.prices()
+	budget := c.Settings.Operator.Headroom * all
+	for _, j := range c.Fleet.Kinds() {
+		o, ok := c.choose(now, j, func(int32) bool { return false })
+		if !ok || total >= c.Settings.Operator.MaxMachines {
+			continue
+		}
+		t := c.typ(o.typ)
+		p := t.Price
+		if o.spot {
+			p = t.Spot
+		}
+		if n := int((budget - idle) / p); n > 0 {
+			// Never beyond the bound: five at a time once went four over it.
+			c.ask(now, o, min(n, 5, c.Settings.Operator.MaxMachines-total))
+			return
+		}
+	}
+}
+
+// choose finds the offer with the lowest price for a job's task that was not refused
+// lately, in a zone that isn't full for it; where money does not count, cheap is still preferred.
+func (c *Manager) choose(now time.Duration, j *jobs.Job, full func(zone int32) bool) (offer, bool) {
+	best, price, ok := offer{}, math.Inf(1), false
+	for _, t := range c.Types() {
+		n := j.Spec.Size().Copies(t.Size())
+		if n <= 0 {
+			continue
+		}
+		ty := c.Door.Types.Index(t.Name)
+		for _, z := range t.Zones {
+			zone := c.Door.Zones.Index(z)
+			for _, spot := range []bool{true, false} {
+				o := offer{ty, zone, spot}
+				p := t.Price
+				if spot {
+					p = t.Spot
+				}
+				if full(zone) || !c.Zones.Rents(zone) || p <= 0 || !j.Allows(ty, zone, spot) || now < c.refused[o] {
+					continue
+				}
+				// A task must not take a GPU machine it has no use for, and zones are
+				// filled evenly so that no single cut takes all.
+				per := p/float64(n) + 1e-6*float64(c.zones[zone])
+				if per < price {
+					best, price, ok = o, per, true
+				}
+			}
+		}
+	}
+	return best, ok
+}
+
+func (c *Manager) ask(now time.Duration, o offer, n int) {
+	c.claims++
+	claim := fmt.Sprintf("r-%d-%d", c.Term, c.claims)
+	body := map[string]any{"claim": claim, "build": c.Door.Types.Name(o.typ), "meadow": c.Door.Zones.Name(o.zone),
+		"stray": o.spot, "how_many": n}
+	c.renting = c.call("POST", "/machines", body, func(r httpio.Response) {
+		c.renting = false
+		at := c.Cloud.now()
+		var b struct {
+			Machines []string `json:"dens"`
+		}
+		switch {
+		case r.Err == nil && r.Status == 200 && json.Unmarshal(r.Body, &b) == nil:
+			for _, name := range b.Machines {
+				c.boots[name] = &boot{o, now}
+			}
+			if len(b.Machines) < n {
+				c.refused[o] = at + 20*time.Second
+			}
+			slog.Info("machines rented", "claim", claim, "type", c.Door.Types.Name(o.typ), "zone", c.Door.Zones.Name(o.zone),
+				"spot", o.spot, "asked", n, "got", len(b.Machines), "term", c.Term)
+		case r.Err == nil && r.Status == 429:
+		default:
+			// Refused, in trouble or open: if machines do come of it, the list shows them.
+			c.refused[o] = at + 20*time.Second
+		}
+	})
+	if c.renting {
+		c.nextRent = now + 200*time.Millisecond
+	}
+}
