--- a/internal/lab/scale/users.go
+++ b/internal/lab/scale/users.go
@@ -49,9 +49,9 @@
 		accepts: hdrhistogram.New(1, mostMS, digits)}
 }
 
-// jobsUnderWay is how many jobs keep all machines of a step busy, and a few more for those that wait.
+// jobsUnderWay is how many jobs keep all machines of a step busy, and some more, so that work always waits.
 func (s Step) jobsUnderWay() int {
-	const more = 1.05
+	const more = 1.3
 	return max(2, int(more*float64(s.Machines*s.TasksPerMachine)/float64(s.TasksPerJob))+1)
 }
 
