--- a/cmd/harewalk/lab_scale.go
+++ b/cmd/harewalk/lab_scale.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -36,22 +37,28 @@
 	if running == 0 {
 		running = tasks * machines
 	}
-	return scale.Size{Name: name, Values: scale.Values{"machines": machines, "tasks_running": running, "tasks_per_machine": running / machines,
+	return scale.Size{Name: name, Values: scale.Values{"machines": machines, "tasks_running": running, "tasks_reported_per_s": running / reportS,
 		"reports_per_s": machines / reportS, "starts_per_s": starts, "jobs_per_s": jobs}}
 }
 
 func labScaleCmd() *cobra.Command {
 	var o operator
 	var quick bool
-	var out string
+	var out, from string
 	c := &cobra.Command{
-		Use: "scale PLAN.hcl", Short: "Measure what a cluster costs as it grows, with real controllers and hollow workers", Args: cobra.ExactArgs(1),
+		Use: "scale PLAN.hcl", Short: "Measure what a cluster costs as it grows, with real controllers and hollow workers", Args: cobra.MaximumNArgs(1),
 		Long: "Play sizes one after the other: controllers as processes of their own, measured from outside, beside hollow workers and\n" +
 			"users in this process and the stand-in state service in another. Straight lines are fitted through the sizes; one that is\n" +
 			"held out is predicted first and measured then (docs/CAPACITY.md). Ctrl-C ends all processes.\n\n" +
 			"Exit codes: 0 measured, 1 a rule was broken or a process failed, 2 wrong plan, or one too large for this machine.",
 		Example: "  harewalk lab scale deploy/lab/scale.hcl --out docs/capacity\n  harewalk lab scale deploy/lab/scale.hcl --quick",
 		RunE: func(c *cobra.Command, args []string) error {
+			if from != "" {
+				return rewriteScale(c, &o, from, out)
+			}
+			if len(args) == 0 {
+				return coded{exitUsage, errors.New("name a plan, or a run's file with --from")}
+			}
 			p, err := scale.Read(args[0])
 			if err != nil {
 				return coded{exitUsage, err}
@@ -90,11 +97,26 @@
 		},
 	}
 	c.Flags().BoolVar(&quick, "quick", false, "a tenth of each size and short times: ends within two minutes")
+	c.Flags().StringVar(&from, "from", "", "play nothing: write tables and page anew from the stored figures of this file")
 	c.Flags().StringVar(&out, "out", "", "write "+scaleJSON+", "+scaleMarkdown+" and "+scaleHTML+" into this folder")
 	outputFlag(c.Flags(), &o.output)
 	return c
 }
 
+// rewriteScale writes a run's tables anew from its stored figures.
+func rewriteScale(c *cobra.Command, o *operator, from, out string) error {
+	r, err := scale.ReadResult(from)
+	if err != nil {
+		return coded{exitUsage, fmt.Errorf("--from: %w", err)}
+	}
+	if out != "" {
+		if err := writeScale(out, r); err != nil {
+			return coded{exitFailed, err}
+		}
+	}
+	return o.show(c.OutOrStdout(), r, r.WriteText)
+}
+
 // runScale plays a plan with this program's own processes.
 func runScale(ctx context.Context, p *scale.Plan, errs io.Writer) (*scale.Result, error) {
 	self, err := os.Executable()
--- a/internal/archive/mover.go
+++ b/internal/archive/mover.go
@@ -65,7 +65,7 @@
 
 // Bounds of a batch, in jobs, and of the pause after one that wasn't carried out.
 const (
-	mostJobs = 8
+	mostJobs = 16
 	pauseFor = 2 * time.Second
 	// settleFor is for how long a job isn't tried again that met a condition which didn't hold: an earlier move of
 	// it has landed, and the followed keys are about to say so.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -340,10 +340,7 @@
 		o.Headroom = 0.1
 	}
 	if o.MaxMachines == 0 {
-		// Every machine takes memory for its tasks and plans. Its connection need not stay open: beyond Crowded it
-		// is made anew for each report, so that sockets bound how many report in one moment, not how many there are.
-		l := s.Params.Limits
-		o.MaxMachines = max(1, min(or(l.Sockets, anySockets)*19/20, int(l.Memory()*8)))
+		o.MaxMachines = s.Params.Limits.mostMachines(w.ReportS)
 	}
 	for i := range o.Licences {
 		if o.Licences[i].OnLower == "" {
--- a/internal/controller/archive.go
+++ b/internal/controller/archive.go
@@ -14,7 +14,7 @@
 )
 
 // archiveEvery spaces the looks at what may be archived.
-const archiveEvery = 250 * time.Millisecond
+const archiveEvery = 100 * time.Millisecond
 
 // newReader makes what finds archived answers.
 func (c *Controller) newReader(entries int) *archive.Reader {
--- a/internal/controller/archive_test.go
+++ b/internal/controller/archive_test.go
@@ -8,6 +8,7 @@
 	"github.com/harewalk/harewalk/internal/config"
 	"github.com/harewalk/harewalk/internal/httpio"
 	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/sessions"
 	"github.com/harewalk/harewalk/internal/store"
 	"github.com/harewalk/harewalk/internal/world/state"
 )
@@ -121,3 +122,13 @@
 		t.Errorf("%d jobs, %d by id, %d live tasks, %d ended, and %d are live", n, book.Len(), book.LiveTasks(), ended, live)
 	}
 }
+
+// A job whose session is still recorded isn't archived, whatever else is over: the session would be nobody's for ever.
+func TestSessionKeepsItsJob(t *testing.T) {
+	c, _, _ := following(t)
+	c.sess = sessions.New(sessions.Env{Policies: &sessions.Policies{}, Book: c.book, Wall: func(time.Duration) time.Time { return time.Unix(0, 0) }}, 1)
+	c.sess.Load(0, []store.Item{{Key: sessions.Key("req-000001"), Value: []byte(`{"user":"u","team":"t"}`), Version: 3}})
+	if c.settled(&jobs.Job{ID: "req-000001", Stance: jobs.Done}) {
+		t.Error("the job of a session that is recorded may be archived")
+	}
+}
--- a/internal/controller/outside.go
+++ b/internal/controller/outside.go
@@ -146,3 +146,6 @@
 		c.leaderCall(now, intake.Call{What: verb, Name: id, Verb: "show"}, say)
 	}
 }
+
+// JobsKnown is how many jobs it has in memory, ended ones that are not archived yet included.
+func (s *Simulated) JobsKnown() int { return s.c.book.Len() }
--- a/internal/intake/archive_test.go
+++ b/internal/intake/archive_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/harewalk/harewalk/internal/archive"
 	"github.com/harewalk/harewalk/internal/jobs"
@@ -80,3 +81,28 @@
 		t.Errorf("%d %q", r.Status, stance(r))
 	}
 }
+
+// A record is read, the job is moved, and the followed keys show that before the answer to the read comes: what was read is
+// void, and the answer is told from the archive.
+func TestMovedWhileItsRecordIsRead(t *testing.T) {
+	d := newDesk(state.New())
+	d.svc.Apply([]store.Op{{Put: jobs.RecordKey(job(1).ID), Value: jobs.EncodeRecord(jobs.Done, 0, 3, nil)}})
+	d.Learned = func(time.Duration, store.Item) {} // the followed keys have passed its version
+	d.late = func() {                              // after the check
+		d.late = func() { d.moved(job(1).ID, archive.Answer{Stance: jobs.Done, Tasks: 3, Done: 3}) } // after the read
+	}
+	if r := d.query(t, job(1).ID); r.Status != 200 || stance(r) != "done" {
+		t.Errorf("%d %q", r.Status, stance(r))
+	}
+}
+
+// A job was accepted, has ended and was archived before the answer to its first write came here: its user is told how it
+// ended, as others were.
+func TestArchivedBeforeItsSubmissionIsAnswered(t *testing.T) {
+	d := newDesk(state.New())
+	d.Learned = func(time.Duration, store.Item) {} // the followed keys have passed its version
+	d.late = func() { d.moved(job(1).ID, archive.Answer{Stance: jobs.Done, Tasks: 3, Done: 3}) }
+	if r := d.submit(t, job(1)); r.Status != 200 || stance(r) != "done" {
+		t.Errorf("%d %q", r.Status, stance(r))
+	}
+}
--- a/internal/lab/scale/fit.go
+++ b/internal/lab/scale/fit.go
@@ -16,14 +16,14 @@
 	Predictors []string `json:"predictors"`
 }
 
-// Names of what metrics depend on.
+// Names of what metrics depend on. A task is reported with each report of its machine.
 const (
 	byMachines = "machines"
 	byReports  = "reports_per_s"
+	byReported = "tasks_reported_per_s"
 	byStarts   = "starts_per_s"
 	byJobs     = "jobs_per_s"
 	byRunning  = "tasks_running"
-	byTasks    = "tasks_per_machine"
 )
 
 // Roles.
@@ -31,26 +31,26 @@
 	roleLeader   = "leader"
 	roleFollower = "other controllers"
 	roleState    = "state service"
-	roleWorker   = "worker's control"
+	roleWorkers  = "all workers and users"
 )
 
 // Metrics lists what is fitted.
 var Metrics = []Metric{
 	{"leader_cpu", roleLeader, "cores", []string{byReports, byStarts}},
 	{"leader_rss", roleLeader, "MB", []string{byMachines, byRunning}},
-	{"leader_read", roleLeader, "KB/s", []string{byReports, byStarts}},
+	{"leader_read", roleLeader, "KB/s", []string{byReports, byReported}},
 	{"leader_written", roleLeader, "KB/s", []string{byReports, byStarts}},
 	{"leader_sockets", roleLeader, "sockets", []string{byMachines}},
 	{"follower_cpu", roleFollower, "cores", []string{byStarts, byJobs}},
-	{"follower_rss", roleFollower, "MB", []string{byJobs}},
+	{"follower_rss", roleFollower, "MB", []string{byMachines}},
 	{"follower_read", roleFollower, "KB/s", []string{byStarts, byJobs}},
 	{"state_requests", roleState, "1/s", []string{byStarts, byJobs}},
 	{"state_writes", roleState, "1/s", []string{byStarts, byJobs}},
 	{"state_cpu", roleState, "cores", []string{byStarts, byJobs}},
 	{"state_followed", roleState, "keys", []string{byMachines, byJobs}},
-	{"worker_bytes", roleWorker, "KB/s", []string{byTasks}},
-	{"worker_cpu", roleWorker, "% of a core", []string{byTasks}},
-	{"worker_memory", roleWorker, "KB", []string{byTasks}},
+	{"workers_bytes", roleWorkers, "KB/s", []string{byReports, byReported}},
+	{"workers_cpu", roleWorkers, "cores", []string{byReports, byStarts}},
+	{"workers_rss", roleWorkers, "MB", []string{byMachines, byRunning}},
 }
 
 // Fit is a metric's line: an intercept and a slope for each predictor, by least squares.
--- a/internal/lab/scale/result.go
+++ b/internal/lab/scale/result.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"html/template"
 	"io"
+	"os"
 	"strings"
 	"text/tabwriter"
 
@@ -81,6 +82,24 @@
 	}
 }
 
+// ReadResult reads what a run has written, and fits the lines anew.
+func ReadResult(path string) (*Result, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	r := &Result{}
+	if err := json.Unmarshal(raw, r); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if len(r.Steps) == 0 {
+		return nil, fmt.Errorf("%s: no sizes were measured", path)
+	}
+	r.Fits, r.Unfitted = nil, nil
+	r.fitAll()
+	return r, nil
+}
+
 // WriteJSON writes everything.
 func (r *Result) WriteJSON(out io.Writer) error {
 	e := json.NewEncoder(out)
--- a/internal/world/archive_test.go
+++ b/internal/world/archive_test.go
@@ -278,3 +278,98 @@
 	}
 	r.everywhere()
 }
+
+// onMachines tells whether a task of a job is on some machine, by the world's truth.
+func (r *rolling) onMachines(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.machines {
+		for _, k := range m.tasks {
+			if !m.dead && k.spec.ID == id && k.state != exited {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// movesNothingThatRuns breaks the run if a job is moved of which a task is on a machine.
+func (r *rolling) movesNothingThatRuns() (moved *int) {
+	moved = new(int)
+	r.Watch(func(_ int, tx store.Txn) Fate {
+		for _, o := range tx.Then {
+			if id, ok := strings.CutPrefix(o.Put, archive.Prefix); ok {
+				if *moved++; r.onMachines(id) {
+					r.Break("%s is archived, and a task of it is on a machine", id)
+				}
+			}
+		}
+		return Fate{}
+	})
+	return moved
+}
+
+// Jobs are cancelled while their machines hang or hear nothing, so that their tasks stay for long, and the lead changes: none
+// is archived before the last of its tasks is gone.
+func TestNothingIsArchivedThatMayRun(t *testing.T) {
+	r := newRolling(t, 407, 3, rollout.Newest, "soak_s = 3")
+	moved := r.movesNothingThatRuns()
+	r.load(90 * time.Second)
+	for i := range 12 {
+		r.After(time.Duration(6*i+4)*time.Second, func() {
+			r.Hang(5 * time.Second)
+			r.Deafen(2, "", 6*time.Second)
+			for _, u := range r.users[max(0, len(r.users)-6):] {
+				u.cancel()
+			}
+		})
+	}
+	for i := range 3 {
+		r.After(time.Duration(25*i+15)*time.Second, func() { toLeader(3*time.Second, (*World).KillController)(r.World) })
+	}
+	r.Advance(100 * time.Second)
+	r.over()
+	r.reach("all moved", time.Minute, func() bool { return r.recordsLeft() == 0 })
+	if *moved < 30 {
+		t.Errorf("%d jobs were moved", *moved)
+	}
+}
+
+// A job's record can't be read as a term begins, so that nobody knows what its plan says, and can be read again as one that
+// was cancelled while its tasks run: it isn't archived in that term.
+func TestUnreadableRecordIsNotArchived(t *testing.T) {
+	r := newRolling(t, 408, 3, rollout.Newest, "soak_s = 3")
+	moved := r.movesNothingThatRuns()
+	r.Advance(3 * time.Second)
+	spec := &jobs.Spec{ID: "req-000001", Class: "c", Team: "blue", Kind: jobs.Array, Priority: "standard", Tasks: 3, CPUs: 1, Mem: 1, Image: "i", ImageGB: 1, EstimateS: 60, Spot: true}
+	u := &simUser{w: r.World, rng: r.rng, spec: spec, asked: true}
+	r.users = append(r.users, u)
+	u.submit()
+	r.reach("running", 20*time.Second, func() bool { return r.Look().Running == 3 })
+	key := jobs.RecordKey(spec.ID)
+	r.Store(store.Op{Put: key, Value: json.RawMessage(`{"stance":"?"}`)})
+	for i := range 3 {
+		r.KillController(i)
+	}
+	r.Advance(time.Second)
+	for i := range 3 {
+		r.StartController(i)
+	}
+	r.reach("led", 20*time.Second, func() bool { return len(r.Leading()) > 0 })
+	r.Advance(2 * time.Second) // plans are read
+	for _, m := range r.machines { // their reports say nothing meanwhile
+		m.muteTill = r.Now() + 4*time.Second
+	}
+	r.Store(store.Op{Put: key, Value: jobs.EncodeRecord(jobs.Cancelled, 0, 3, spec)})
+	r.Cancelled(spec.ID)
+	r.Advance(20 * time.Second)
+	if *moved != 0 {
+		t.Errorf("%d jobs were moved by a leader that doesn't know their plans", *moved)
+	}
+	l, _ := r.World.Leader()
+	r.KillController(l)
+	r.Advance(5 * time.Second)
+	r.StartController(l)
+	r.over()
+	r.reach("moved by the next", time.Minute, func() bool { return r.recordsLeft() == 0 })
+}
--- /dev/null
+++ b/internal/world/many_test.go
@@ -0,0 +1,213 @@
+package world
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/jobs"
+)
+
+// footprint is what controllers hold and read at a moment.
+type footprint struct {
+	jobs     int // accepted so far
+	records  int // that every controller follows
+	known    int // jobs in the memory of the controller that knows most
+	requests int // to the state service, until a controller that starts can serve
+	heap     [3]float64
+}
+
+// heapMB is what is in use after everything that can be given back was.
+func heapMB() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc) / (1 << 20)
+}
+
+// many is a cluster that is given a great number of small jobs while it fails again and again.
+type many struct {
+	*World
+	t        *testing.T
+	rng      *rand.Rand
+	accepted []string
+	open     int
+}
+
+// submit hands a job in until it is accepted.
+func (m *many) submit(n int) {
+	s := &jobs.Spec{ID: fmt.Sprintf("req-%07d", n), Class: "c", Team: []string{"red", "blue"}[n%2], Kind: jobs.Array, Priority: "standard", Tasks: 1 + n%2, CPUs: 1, Mem: 1,
+		Image: "i", ImageGB: 0.1, EstimateS: 0.5 + m.rng.Float64(), Spot: true}
+	m.Know(s)
+	body, _ := json.Marshal(s)
+	m.open++
+	var again func()
+	again = func() {
+		m.Ask(m.rng.IntN(3), "POST", "/v2/runs", body, func(status int, _ []byte) {
+			if status == 200 || status == 201 {
+				m.accepted = append(m.accepted, s.ID)
+				m.open--
+				return
+			}
+			m.After(time.Second, again)
+		})
+	}
+	again()
+}
+
+// trouble lets something fail, and heal.
+func (m *many) trouble() {
+	i := m.rng.IntN(3)
+	switch m.rng.IntN(6) {
+	case 0:
+		m.KillController(i)
+		m.After(3*time.Second, func() { m.StartController(i) })
+	case 1:
+		m.FreezeController(i, time.Duration(1+m.rng.IntN(9))*time.Second)
+	case 2:
+		m.Outage(true)
+		m.After(time.Duration(1+m.rng.IntN(8))*time.Second, func() { m.Outage(false) })
+	case 3:
+		m.Refuse(i, true)
+		m.After(6*time.Second, func() { m.Refuse(i, false) })
+	case 4:
+		m.LosePositions()
+	case 5:
+		m.DrainController(i, func() { m.StartController(i) })
+	}
+}
+
+// calm lets everything heal and all jobs that are done be archived.
+func (m *many) calm() {
+	for i := range 3 {
+		m.StartController(i)
+	}
+	for end := m.Now() + 10*time.Minute; m.Now() < end && (m.open > 0 || m.Keys(jobs.Prefix) > 0); {
+		m.Advance(time.Second)
+	}
+	m.Advance(10 * time.Second)
+}
+
+// measure looks at what controllers hold and at what a start takes: each is ended and started again in turn.
+func (m *many) measure() footprint {
+	h := footprint{jobs: len(m.accepted), records: m.Keys("h/")}
+	for i, n := range m.sim.nodes {
+		if n.c == nil {
+			m.t.Fatalf("controller %d doesn't run", i)
+		}
+		h.known = max(h.known, n.c.JobsKnown())
+	}
+	for i := range m.sim.nodes {
+		before := heapMB()
+		m.KillController(i)
+		m.sim.dropEnded()
+		h.heap[i] = before - heapMB()
+		m.Advance(8 * time.Second) // its hold runs out, another leads
+		asked := m.Stats().StateRequests
+		m.StartController(i)
+		m.Advance(5 * time.Second)
+		h.requests = max(h.requests, m.Stats().StateRequests-asked)
+	}
+	return h
+}
+
+// dropEnded forgets what was to happen in lives that have ended, so that they can be given back.
+func (s *Sim) dropEnded() {
+	s.w.Advance(2 * time.Minute)
+}
+
+// A great many jobs are accepted, run, end and are archived while controllers, the state service and positions fail
+// throughout: what controllers hold, follow and read at their start is the same after a tenth of them as after all, and
+// every job that was accepted has its answer at every controller in the end. HAREWALK_LONG plays 220,000, a day at the
+// planned size; there the heap of each controller counts too.
+func TestManyJobs(t *testing.T) {
+	n, checked := 3000, 1
+	if os.Getenv("HAREWALK_LONG") != "" {
+		n = 220_000
+	}
+	w, err := Simulated(Config{Seed: 411, Machines: 16, Step: 50 * time.Millisecond, State: config.State{RPS: 6000, WriteRPS: 900, ValueKB: 8, TxnOps: 24},
+		Teams: []config.Team{{Name: "red"}, {Name: "blue"}}},
+		func(s *config.Settings) error {
+			return s.ReadOperator("o.hcl", []byte("archive {\n retain_s = 5\n}\n"))
+		})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &many{World: w, t: t, rng: rand.New(rand.NewPCG(411, 47))}
+	m.Advance(10 * time.Second)
+	var seen []footprint
+	const every = 25 * time.Millisecond
+	for i := range n {
+		m.submit(i)
+		m.Advance(every)
+		if i%1200 == 600 {
+			m.trouble()
+		}
+		if i == n/10 || i == n-1 {
+			m.calm()
+			h := m.measure()
+			t.Logf("after %d jobs: %d keys followed, %d jobs in memory, %d requests around a start, controllers hold %.2f MB", h.jobs, h.records, h.known, h.requests, h.heap)
+			seen = append(seen, h)
+		}
+	}
+	few, all := seen[0], seen[1]
+	if all.jobs != n || all.records > few.records+2 || all.known > few.known+2 || float64(all.requests) > 1.1*float64(few.requests)+20 {
+		t.Errorf("what is held grows with the number of jobs: %+v, %+v", few, all)
+	}
+	if n > 100_000 {
+		for i := range all.heap {
+			if all.heap[i] > 1.1*few.heap[i]+0.5 {
+				t.Errorf("controller %d holds %.2f MB after %d jobs, %.2f after %d", i, all.heap[i], all.jobs, few.heap[i], few.jobs)
+			}
+		}
+	}
+	m.answersEverywhere(checked)
+	for _, b := range m.Broken() {
+		t.Error(b)
+	}
+	s := m.Stats()
+	t.Logf("%d jobs over %v simulated, %d starts; %d controllers killed, %d frozen, %d drained", n, m.Now(), s.Starts, s.Kills, s.Freezes, s.Drains)
+}
+
+// answersEverywhere asks every controller about every step-th job: each has one answer, done.
+func (m *many) answersEverywhere(step int) {
+	m.t.Helper()
+	right, wrong := 0, 0
+	for i := range m.sim.nodes {
+		for k := 0; k < len(m.accepted); k += step {
+			id, tries := m.accepted[k], 0
+			var ask func()
+			ask = func() {
+				m.Ask(i, "GET", "/v2/runs/"+id, nil, func(status int, raw []byte) {
+					switch {
+					case status == 200 && stanceOf(raw) == "done":
+						right++
+					case status == 503 || status == 429 || status == 0:
+						if tries++; tries < 100 {
+							m.After(time.Second, ask)
+							return
+						}
+						fallthrough
+					default:
+						if wrong++; wrong < 10 {
+							m.t.Errorf("controller %d says %d %s of %s", i, status, raw, id)
+						}
+					}
+				})
+			}
+			ask()
+			m.Advance(2 * time.Millisecond)
+		}
+	}
+	m.Advance(2 * time.Minute)
+	if want := 3 * ((len(m.accepted) + step - 1) / step); right != want {
+		m.t.Errorf("%d right answers of %d", right, want)
+	}
+	m.t.Logf("%d right answers", right)
+}
