--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -30,7 +30,7 @@
 	Settings *config.Settings
 	Cloud    *Cloud
 	Fleet    *fleet.Fleet
-	Door     *jobs.Door
+	Names    *jobs.NameIndex
 	Types    func() []MachineType
 	Term     uint64
 	// Zones say where machines are heard.
@@ -58,8 +58,8 @@
 }
 
 // New starts a manager for a term.
-func New(s *config.Settings, c *Cloud, f *fleet.Fleet, d *jobs.Door, types func() []MachineType, term uint64) *Manager {
-	m := &Manager{Settings: s, Cloud: c, Fleet: f, Door: d, Types: types, Term: term,
+func New(s *config.Settings, c *Cloud, f *fleet.Fleet, d *jobs.NameIndex, types func() []MachineType, term uint64) *Manager {
+	m := &Manager{Settings: s, Cloud: c, Fleet: f, Names: d, Types: types, Term: term,
 		boots: map[string]*boot{}, took: bootTimes{}, zones: map[int32]int{}, refused: map[offer]time.Duration{}, toReturn: map[string]string{}, gone: map[string]time.Duration{}}
 	z := s.Zones()
 	m.Zones = zones.New(zones.Config{Patience: z.Patience, Prove: z.Prove, Calm: z.Calm, Most: z.Most, Turned: m.zoneTurned})
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -97,7 +97,7 @@
 type bench struct {
 	*Manager
 	cloud *cloud
-	book  *jobs.Book
+	book  *jobs.Table
 	rev   uint64
 	// authority is since when the manager acts.
 	authority time.Duration
@@ -111,9 +111,9 @@
 	s.Operator = config.Operator{SilentS: 13, MaxMachines: 50, NetworkFactor: 1}
 	types := []MachineType{{Name: "m", CPUs: 4, Mem: 16, CacheGB: 10, FetchGB: 1, Price: 2, Spot: 1, BootS: 40, Zones: []string{"a", "b"}}}
 	c := &cloud{room: map[string]int{}, list: map[string]listed{}, born: map[string]time.Duration{}, claims: map[string]bool{}}
-	book := jobs.NewBook(0)
+	book := jobs.NewTable(0)
 	now := func() time.Duration { return c.now }
-	f := fleet.New(fleet.Env{Settings: s, Book: book, Rng: rand.New(rand.NewPCG(1, 1)), TxnOps: 20, Now: now,
+	f := fleet.New(fleet.Env{Settings: s, Jobs: book, Rng: rand.New(rand.NewPCG(1, 1)), TxnOps: 20, Now: now,
 		Types: func(int32) *fleet.Type {
 			return &fleet.Type{Size: types[0].Size(), CacheGB: 10, FetchGB: 1, BootS: 40}
 		},
@@ -121,7 +121,7 @@
 		Commit: func(store.Txn, func(store.Result)) {}}, 1, 0)
 	f.Load(0, nil)
 	b := &bench{cloud: c, book: book, authority: -time.Hour}
-	b.Manager = New(s, NewCloud("", c, now, 100), f, book.Door, func() []MachineType { return types }, 1)
+	b.Manager = New(s, NewCloud("", c, now, 100), f, book.Names, func() []MachineType { return types }, 1)
 	return b
 }
 
@@ -250,8 +250,8 @@
 func TestOverdueBoots(t *testing.T) {
 	b := setup(t)
 	m := b.Manager
-	typ := m.Door.Types.Index(m.Types()[0].Name)
-	here, there := offer{typ, m.Door.Zones.Index("a"), false}, offer{typ, m.Door.Zones.Index("b"), false}
+	typ := m.Names.Types.Index(m.Types()[0].Name)
+	here, there := offer{typ, m.Names.Zones.Index("a"), false}, offer{typ, m.Names.Zones.Index("b"), false}
 	bootS := m.Types()[0].BootS
 	plain := m.took.usual(here, bootS)
 	for range 6 {
--- a/internal/capacity/judge.go
+++ b/internal/capacity/judge.go
@@ -85,9 +85,9 @@
 
 // zoneTurned tells of a zone's change of state.
 func (c *Manager) zoneTurned(now time.Duration, zone int32, from, to zones.State, n zones.Count) {
-	slog.Info("zone", "name", c.Door.Zones.Name(zone), "from", from.String(), "to", to.String(), "machines", n.Machines, "quiet", n.Quiet, "silent", n.Silent,
+	slog.Info("zone", "name", c.Names.Zones.Name(zone), "from", from.String(), "to", to.String(), "machines", n.Machines, "quiet", n.Quiet, "silent", n.Silent,
 		"flaps", c.Zones.Of(zone).Flaps, "term", c.Term)
-	c.Fleet.Events.Add(events.Event{At: now, Kind: events.Zone, Task: events.None, Machine: events.None, Note: c.Door.Zones.Name(zone) + " " + to.String()})
+	c.Fleet.Events.Add(events.Event{At: now, Kind: events.Zone, Task: events.None, Machine: events.None, Note: c.Names.Zones.Name(zone) + " " + to.String()})
 }
 
 // judgeZones looks which zones have fallen silent, and puts what isn't heard there aside: returning it would cost a
--- a/internal/capacity/list.go
+++ b/internal/capacity/list.go
@@ -63,7 +63,7 @@
 			}
 			b := c.boots[l.Name]
 			if b == nil {
-				b = &boot{offer: offer{c.Door.Types.Index(l.Type), c.Door.Zones.Index(l.Zone), l.Spot}}
+				b = &boot{offer: offer{c.Names.Types.Index(l.Type), c.Names.Zones.Index(l.Zone), l.Spot}}
 				c.boots[l.Name] = b
 			}
 			b.since = now - config.Seconds(l.AgeS)
--- a/internal/capacity/rent.go
+++ b/internal/capacity/rent.go
@@ -36,7 +36,7 @@
 	if ix == jobs.None {
 		return nil
 	}
-	name := c.Door.Types.Name(ix)
+	name := c.Names.Types.Name(ix)
 	for i, t := range c.Types() {
 		if t.Name == name {
 			return &c.Types()[i]
@@ -227,9 +227,9 @@
 		if n <= 0 {
 			continue
 		}
-		ty := c.Door.Types.Index(t.Name)
+		ty := c.Names.Types.Index(t.Name)
 		for _, z := range t.Zones {
-			zone := c.Door.Zones.Index(z)
+			zone := c.Names.Zones.Index(z)
 			for _, spot := range []bool{true, false} {
 				o := offer{ty, zone, spot}
 				p := t.Price
@@ -254,7 +254,7 @@
 func (c *Manager) ask(now time.Duration, o offer, n int) {
 	c.claims++
 	claim := fmt.Sprintf("r-%d-%d", c.Term, c.claims)
-	body := map[string]any{"claim": claim, "build": c.Door.Types.Name(o.typ), "meadow": c.Door.Zones.Name(o.zone),
+	body := map[string]any{"claim": claim, "build": c.Names.Types.Name(o.typ), "meadow": c.Names.Zones.Name(o.zone),
 		"stray": o.spot, "how_many": n}
 	c.renting = c.call("POST", "/machines", body, func(r httpio.Response) {
 		c.renting = false
@@ -270,7 +270,7 @@
 			if len(b.Machines) < n {
 				c.refused[o] = at + 20*time.Second
 			}
-			slog.Info("machines rented", "claim", claim, "type", c.Door.Types.Name(o.typ), "zone", c.Door.Zones.Name(o.zone),
+			slog.Info("machines rented", "claim", claim, "type", c.Names.Types.Name(o.typ), "zone", c.Names.Zones.Name(o.zone),
 				"spot", o.spot, "asked", n, "got", len(b.Machines), "term", c.Term)
 		case r.Err == nil && r.Status == 429:
 		default:
--- a/internal/controller/archive.go
+++ b/internal/controller/archive.go
@@ -42,7 +42,7 @@
 	}
 	c.archiveAt = now
 	c.mover.Tick(now, c.backlog(now), func(take func(archive.Candidate) bool) {
-		c.book.Ended(now-c.archive.Retain, func(j *jobs.Job) bool {
+		c.jobs.Ended(now-c.archive.Retain, func(j *jobs.Job) bool {
 			if !c.settled(j) {
 				return true
 			}
@@ -53,7 +53,7 @@
 
 // backlog tells whether some ended job has waited for more than twice the time for which it is retained.
 func (c *Controller) backlog(now time.Duration) (late bool) {
-	c.book.Ended(now-2*c.archive.Retain, func(j *jobs.Job) bool {
+	c.jobs.Ended(now-2*c.archive.Retain, func(j *jobs.Job) bool {
 		late = c.settled(j)
 		return !late
 	})
@@ -65,13 +65,13 @@
 	if c.sess != nil && c.sess.Stands(j.ID) {
 		return false
 	}
-	return c.fleet.Settled(j) && !c.book.Unread(j.ID)
+	return c.fleet.Settled(j) && !c.jobs.Unread(j.ID)
 }
 
 // recordGone takes over that a job's record has left the followed keys.
 func (c *Controller) recordGone(key string, version uint64) {
 	id := strings.TrimPrefix(key, jobs.Prefix)
-	c.book.Archive(id, version)
+	c.jobs.Archive(id, version)
 	if c.mover != nil {
 		c.mover.Gone(id)
 	}
@@ -85,7 +85,7 @@
 			present[strings.TrimPrefix(it.Key, jobs.Prefix)] = true
 		}
 	}
-	c.book.Retain(c.mir.Revision(), func(id string) bool { return present[id] })
+	c.jobs.Retain(c.mir.Revision(), func(id string) bool { return present[id] })
 }
 
 // ArchiveStatus is what operators are told of the archive.
@@ -101,7 +101,7 @@
 
 // archiveStatus is told by the leader.
 func (c *Controller) archiveStatus() ArchiveStatus {
-	s := ArchiveStatus{Moved: c.mover.Figures.Moved, Waiting: c.book.Len() - c.liveJobs(), RetainS: c.archive.Retain.Seconds(), State: c.mover.State().String()}
+	s := ArchiveStatus{Moved: c.mover.Figures.Moved, Waiting: c.jobs.Len() - c.liveJobs(), RetainS: c.archive.Retain.Seconds(), State: c.mover.State().String()}
 	switch {
 	case c.archive.Problem != nil:
 		s.Problem = c.archive.Problem.Error()
--- a/internal/controller/archive_test.go
+++ b/internal/controller/archive_test.go
@@ -49,21 +49,21 @@
 	svc.Apply([]store.Op{{Put: key, Value: jobs.EncodeRecord(jobs.Pending, 0, 1, spec)}})
 	read := svc.Keys[key]
 	advance(time.Second)
-	if c.book.Get(spec.ID) == nil {
+	if c.jobs.Get(spec.ID) == nil {
 		t.Fatal("the job isn't known")
 	}
 	svc.Apply([]store.Op{{Put: key, Value: jobs.EncodeRecord(jobs.Done, 0, 1, nil)}})
 	svc.Apply([]store.Op{{Delete: key}})
 	advance(time.Second)
-	if c.book.Get(spec.ID) != nil || c.book.Len() != 0 {
+	if c.jobs.Get(spec.ID) != nil || c.jobs.Len() != 0 {
 		t.Fatal("an archived job is in the table")
 	}
-	if c.learned(c.loop.Now(), read); c.book.Get(spec.ID) != nil {
+	if c.learned(c.loop.Now(), read); c.jobs.Get(spec.ID) != nil {
 		t.Error("a late answer let an archived job live again")
 	}
 	// What is newer than the followed keys is news.
 	svc.Apply([]store.Op{{Put: jobs.RecordKey("req-000002"), Value: jobs.EncodeRecord(jobs.Pending, 0, 1, spec)}})
-	if c.learned(c.loop.Now(), svc.Keys[jobs.RecordKey("req-000002")]); c.book.Get("req-000002") == nil {
+	if c.learned(c.loop.Now(), svc.Keys[jobs.RecordKey("req-000002")]); c.jobs.Get("req-000002") == nil {
 		t.Error("a job that was read before the followed keys showed it is not known")
 	}
 }
@@ -80,17 +80,17 @@
 	svc.Gone = svc.Rev + 1
 	advance(time.Second)
 	advance(time.Second)
-	if c.book.Get("req-000002") != nil || c.book.Get("req-000001") == nil || c.book.Get("req-000003") == nil || c.book.Len() != 2 {
-		t.Errorf("%d jobs are known", c.book.Len())
+	if c.jobs.Get("req-000002") != nil || c.jobs.Get("req-000001") == nil || c.jobs.Get("req-000003") == nil || c.jobs.Len() != 2 {
+		t.Errorf("%d jobs are known", c.jobs.Len())
 	}
-	if c.book.LiveTasks() != 2 {
-		t.Errorf("%d tasks count as live", c.book.LiveTasks())
+	if c.jobs.LiveTasks() != 2 {
+		t.Errorf("%d tasks count as live", c.jobs.LiveTasks())
 	}
 }
 
 // The table gives back what jobs took that have left it, and never gives an index to a second job.
 func TestTableIsBoundedByWhatLives(t *testing.T) {
-	book := jobs.NewBook(0)
+	book := jobs.NewTable(0)
 	spec := &jobs.Spec{ID: "x", Class: "c", Team: "t", Kind: jobs.Array, Priority: "standard", Tasks: 1, CPUs: 1, Image: "i"}
 	pending, done := jobs.EncodeRecord(jobs.Pending, 0, 1, spec), jobs.EncodeRecord(jobs.Done, 0, 1, nil)
 	seen := map[jobs.Index]bool{}
@@ -126,7 +126,7 @@
 // A job whose session is still recorded isn't archived, whatever else is over: the session would be nobody's for ever.
 func TestSessionKeepsItsJob(t *testing.T) {
 	c, _, _ := following(t)
-	c.sess = sessions.New(sessions.Env{Policies: &sessions.Policies{}, Book: c.book, Wall: func(time.Duration) time.Time { return time.Unix(0, 0) }}, 1)
+	c.sess = sessions.New(sessions.Env{Policies: &sessions.Policies{}, Jobs: c.jobs, Wall: func(time.Duration) time.Time { return time.Unix(0, 0) }}, 1)
 	c.sess.Load(0, []store.Item{{Key: sessions.Key("req-000001"), Value: []byte(`{"user":"u","team":"t"}`), Version: 3}})
 	if c.settled(&jobs.Job{ID: "req-000001", Stance: jobs.Done}) {
 		t.Error("the job of a session that is recorded may be archived")
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -68,7 +68,7 @@
 	mir   *store.Mirror
 	mem   *membership.Membership
 	roll  *rollout.Rollout
-	book  *jobs.Book
+	jobs  *jobs.Table
 	in    *intake.Intake
 	cloud *capacity.Cloud
 	quota *quota.Ledger
@@ -148,10 +148,10 @@
 	c.wire = o.Sender(s.Params.Limits.Outgoing(workerSlots))
 	c.store = store.New(s.Services.State, c.send, c.loop.Now, c.share(false), s.Params.State.TxnOps)
 	c.seats = o.Sender(s.Params.Limits.Outgoing(licenceSlots))
-	c.book = jobs.NewBook(o.EpochMS)
+	c.jobs = jobs.NewTable(o.EpochMS)
 	c.pools = licences.NewCatalog(s.Pools())
-	c.book.Door.Pools = c.pools
-	c.quota = quota.New(s.Params.Teams, c.book.Door.Teams.Index)
+	c.jobs.Names.Pools = c.pools
+	c.quota = quota.New(s.Params.Teams, c.jobs.Names.Teams.Index)
 	c.cloud = capacity.NewCloud(s.Services.Cloud, c.send, c.loop.Now, s.Params.Cloud.RPS*0.9)
 	c.mir = store.NewMirror(c.store, hot, s.PictureFor())
 	c.roll = c.newRollout()
@@ -173,7 +173,7 @@
 	c.mir.OnSynced = func() { c.roll.Synced(); c.mem.Synced(c.loop.Now()) }
 	c.archive = s.Archive()
 	c.archived = c.newReader(c.archive.CacheEntries)
-	c.in = intake.New(intake.Env{Store: c.store, Book: c.book, Archive: c.archived, Admit: c.admit, Ready: c.mir.Synced,
+	c.in = intake.New(intake.Env{Store: c.store, Jobs: c.jobs, Archive: c.archived, Admit: c.admit, Ready: c.mir.Synced,
 		Counts: c.counts, Learned: c.learned, Guard: c.roll.Guard, Fit: c.roll.Fit, TxnOps: s.Params.State.TxnOps, MaxTasks: s.Params.Limits.Tasks(),
 		MaxBytes: s.Params.Limits.QueueBytes(), MaxValue: int(s.Params.State.ValueKB * 1024)})
 	return c
--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -102,7 +102,7 @@
 		}
 		return true
 	})
-	if only != "" && !about && c.book.Get(only) == nil {
+	if only != "" && !about && c.jobs.Get(only) == nil {
 		reply(intake.Refuse(404, notKept))
 		return
 	}
--- a/internal/controller/licences.go
+++ b/internal/controller/licences.go
@@ -64,7 +64,7 @@
 
 // licenceCall answers an operator's request about pools: all of them, one, or a new count.
 func (c *Controller) licenceCall(now time.Duration, q intake.Call, reply func(intake.Reply)) {
-	show := func(ix int32) licences.View { return c.fleet.Gate.Seats.Show(now, ix, c.book.Door.Teams.Name) }
+	show := func(ix int32) licences.View { return c.fleet.Gate.Seats.Show(now, ix, c.jobs.Names.Teams.Name) }
 	if q.Name == "" {
 		all := []licences.View{}
 		for ix := range c.pools.Pools() {
@@ -111,7 +111,7 @@
 	key := licences.Key(c.pools.Pools()[ix].Name)
 	op := store.Op{Delete: key}
 	if !s.Reset {
-		raw, _ := json.Marshal(licences.Set{Count: *s.Count, Lower: s.Lower, By: s.By, AtMS: c.book.WallMS(now)})
+		raw, _ := json.Marshal(licences.Set{Count: *s.Count, Lower: s.Lower, By: s.By, AtMS: c.jobs.WallMS(now)})
 		op = store.Op{Put: key, Value: raw}
 	} else if stamp == 0 {
 		reply(intake.Reply{Status: 200, Body: show()})
--- a/internal/controller/list.go
+++ b/internal/controller/list.go
@@ -109,7 +109,7 @@
 	}
 	var found []Listed
 	after := q.Query["since"]
-	c.book.All(func(j *jobs.Job) {
+	c.jobs.All(func(j *jobs.Job) {
 		if j.ID > after {
 			if l := c.listed(now, j); f.Match(&l, ListFields) {
 				found = append(found, l)
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -80,7 +80,7 @@
 
 // liveJobs is the number of jobs that are not over.
 func (c *Controller) liveJobs() (n int) {
-	c.book.Live(func(*jobs.Job) { n++ })
+	c.jobs.Live(func(*jobs.Job) { n++ })
 	return n
 }
 
@@ -100,7 +100,7 @@
 	add(stateDesc, (now - c.store.LastOK()).Seconds())
 	add(lagDesc, (now - asked).Seconds())
 	add(jobsDesc, float64(c.liveJobs()))
-	add(knownDesc, float64(c.book.Len()))
+	add(knownDesc, float64(c.jobs.Len()))
 	add(cachedDesc, float64(c.archived.Cached()))
 	add(levelDesc, float64(c.roll.Level()), "cluster")
 	add(levelDesc, float64(c.roll.Knows()), "known")
@@ -116,7 +116,7 @@
 	}
 	add(archivedDesc, float64(c.mover.Figures.Moved))
 	tasks := map[jobs.State]int{}
-	c.book.Live(func(j *jobs.Job) {
+	c.jobs.Live(func(j *jobs.Job) {
 		for s, n := range j.In {
 			tasks[jobs.State(s)] += n
 		}
@@ -141,7 +141,7 @@
 	add(gpusDesc, gpus, "there")
 	add(gpusDesc, gpusUsed, "used")
 	for ix, p := range c.pools.Pools() {
-		v := c.fleet.Gate.Seats.Show(now, int32(ix), c.book.Door.Teams.Name)
+		v := c.fleet.Gate.Seats.Show(now, int32(ix), c.jobs.Names.Teams.Name)
 		for what, n := range map[string]int{"count": v.Count, "held": v.Held + v.Booked, "lingering": v.Lingering, "others": v.Others, "free": v.Free} {
 			add(seatsDesc, float64(n), p.Name, what)
 		}
--- a/internal/controller/operate.go
+++ b/internal/controller/operate.go
@@ -141,7 +141,7 @@
 		lost(c.wishes.Last)
 		return
 	}
-	cmd.AtMS = c.book.WallMS(now)
+	cmd.AtMS = c.jobs.WallMS(now)
 	next, err := c.wishes.Apply(cmd, c.cluster(now))
 	switch {
 	case errors.Is(err, operate.ErrMalformed):
--- a/internal/controller/outside.go
+++ b/internal/controller/outside.go
@@ -148,4 +148,4 @@
 }
 
 // JobsKnown is how many jobs it has in memory, ended ones that are not archived yet included.
-func (s *Simulated) JobsKnown() int { return s.c.book.Len() }
+func (s *Simulated) JobsKnown() int { return s.c.jobs.Len() }
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -43,7 +43,7 @@
 // learned takes over a job's record that was read or written beside the followed keys. If they have passed its version
 // and the table lacks the job, it was archived since: an answer that came late must not let it live again.
 func (c *Controller) learned(now time.Duration, it store.Item) {
-	if c.book.Get(strings.TrimPrefix(it.Key, jobs.Prefix)) == nil && it.Version <= c.mir.Revision() {
+	if c.jobs.Get(strings.TrimPrefix(it.Key, jobs.Prefix)) == nil && it.Version <= c.mir.Revision() {
 		return
 	}
 	c.record(now, it)
@@ -51,7 +51,7 @@
 
 // record takes over a job's record.
 func (c *Controller) record(now time.Duration, it store.Item) {
-	j, changed, err := c.book.Apply(strings.TrimPrefix(it.Key, jobs.Prefix), it.Value, it.Version)
+	j, changed, err := c.jobs.Apply(strings.TrimPrefix(it.Key, jobs.Prefix), it.Value, it.Version)
 	if err != nil {
 		c.roll.Unreadable(it.Key, it.Value, err)
 		return
--- a/internal/controller/rollout.go
+++ b/internal/controller/rollout.go
@@ -16,7 +16,7 @@
 func (c *Controller) newRollout() *rollout.Rollout {
 	o := c.s.Rollout()
 	cfg := rollout.Config{Node: c.s.Node, Nodes: []rollout.Named{{Node: c.s.Node, Zone: c.s.Zone}}, Release: rollout.Release, Knows: rollout.Newest,
-		Auto: o.Auto, Soak: o.Soak, BornMS: c.book.WallMS(c.loop.Now()), Turned: c.rolloutTurned}
+		Auto: o.Auto, Soak: o.Soak, BornMS: c.jobs.WallMS(c.loop.Now()), Turned: c.rolloutTurned}
 	if o.Knows > 0 {
 		cfg.Knows, cfg.Release = o.Knows, o.Release
 	}
@@ -40,7 +40,7 @@
 
 // Before implements membership.Rollout.
 func (m member) Before() int {
-	return m.Rollout.Before(m.c.book.WallMS(m.c.loop.Now()), func(node string) bool {
+	return m.Rollout.Before(m.c.jobs.WallMS(m.c.loop.Now()), func(node string) bool {
 		_, drained := m.c.wishes.Nodes[node]
 		h, heard := m.c.status[node]
 		return drained || (heard && h.Leaving)
@@ -103,7 +103,7 @@
 		reply(intake.Refuse(400, "not a command: "+err.Error()))
 		return
 	}
-	t, err := c.roll.Say(now, cmd, c.book.WallMS(now))
+	t, err := c.roll.Say(now, cmd, c.jobs.WallMS(now))
 	switch {
 	case errors.Is(err, rollout.ErrMalformed):
 		reply(intake.Refuse(400, err.Error()))
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -16,8 +16,8 @@
 		return nil
 	}
 	return sessions.New(sessions.Env{
-		Policies: p, Book: c.book, Learned: c.learned, Read: c.read, Now: c.loop.Now, Unreadable: c.roll.Unreadable,
-		Wall:   func(now time.Duration) time.Time { return time.UnixMilli(c.book.WallMS(now)) },
+		Policies: p, Jobs: c.jobs, Learned: c.learned, Read: c.read, Now: c.loop.Now, Unreadable: c.roll.Unreadable,
+		Wall:   func(now time.Duration) time.Time { return time.UnixMilli(c.jobs.WallMS(now)) },
 		Commit: func(t store.Txn, done func(store.Result)) { c.commit(t, store.Ordinary, done) },
 		Task:   c.fleet.SessionTask, Park: c.fleet.Park, Wanted: c.fleet.Wanted,
 	}, term)
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -34,7 +34,7 @@
 		return
 	}
 	for _, n := range s.Counts {
-		if j := c.book.Get(n.Job); j != nil && !j.Stance.Terminal() {
+		if j := c.jobs.Get(n.Job); j != nil && !j.Stance.Terminal() {
 			j.DoneN, j.RunningN = int(n.Done), int(n.Running)
 		}
 	}
@@ -74,7 +74,7 @@
 		Workers: c.strays.count(now, config.Seconds(c.s.Params.Workers.ReportS), 0), Leaving: c.life != Serving}
 	if c.fleet != nil {
 		s.Term = c.mem.Term()
-		c.book.Live(func(j *jobs.Job) {
+		c.jobs.Live(func(j *jobs.Job) {
 			if j.Tasks != nil && len(s.Counts) < 2000 {
 				d, r := c.fleet.Counts(j)
 				s.Counts = append(s.Counts, peers.Count{Job: j.ID, Done: uint32(d), Running: uint32(r)})
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -18,9 +18,9 @@
 // lead starts a term.
 func (c *Controller) lead(now time.Duration, term uint64) {
 	c.store.SetShare(c.share(true))
-	c.book.Recall()
+	c.jobs.Recall()
 	c.fleet = fleet.New(fleet.Env{
-		Settings: c.s, Book: c.book, Rng: c.rng, TxnOps: c.s.Params.State.TxnOps - 1, MaxOrders: c.s.Params.Limits.Outgoing(workerSlots), Now: c.loop.Now, Learned: c.learned,
+		Settings: c.s, Jobs: c.jobs, Rng: c.rng, TxnOps: c.s.Params.State.TxnOps - 1, MaxOrders: c.s.Params.Limits.Outgoing(workerSlots), Now: c.loop.Now, Learned: c.learned,
 		Types:      func(ix int32) *fleet.Type { return c.byType[ix] },
 		Paged:      func() bool { return c.roll.Level() >= rollout.Paged },
 		Unreadable: c.roll.Unreadable,
@@ -33,7 +33,7 @@
 	}, term, now)
 	c.fleet.Events.Add(events.Event{At: now, Kind: events.Term, Task: events.None, Machine: events.None, Note: c.s.Node})
 	c.mover = c.newMover()
-	c.cap = capacity.New(c.s, c.cloud, c.fleet, c.book.Door, func() []capacity.MachineType { return c.types }, term)
+	c.cap = capacity.New(c.s, c.cloud, c.fleet, c.jobs.Names, func() []capacity.MachineType { return c.types }, term)
 	c.zoned.writing = false
 	c.recallZones()
 	c.loading, c.loadAt, c.had = false, now, false
@@ -68,7 +68,7 @@
 	}
 	c.fleet, c.cap, c.sess, c.mover, c.loading = nil, nil, nil, nil, false
 	c.roll.Lost()
-	c.book.Recall()
+	c.jobs.Recall()
 }
 
 // order sends commands straight to a machine.
--- a/internal/controller/types.go
+++ b/internal/controller/types.go
@@ -14,7 +14,7 @@
 func (c *Controller) setTypes(raw string, types []capacity.MachineType) {
 	c.typesRaw, c.types = raw, types
 	for _, t := range types {
-		c.byType[c.book.Door.Types.Index(t.Name)] = &fleet.Type{Size: t.Size(), CacheGB: t.CacheGB, FetchGB: t.FetchGB,
+		c.byType[c.jobs.Names.Types.Index(t.Name)] = &fleet.Type{Size: t.Size(), CacheGB: t.CacheGB, FetchGB: t.FetchGB,
 			BootS: t.BootS, Price: t.Price, Spot: t.Spot}
 	}
 }
@@ -22,7 +22,7 @@
 // admit tells whether a job can ever run.
 func (c *Controller) admit(s *jobs.Spec) intake.Verdict {
 	no := func(why string) intake.Verdict { return intake.Verdict{Known: true, Why: why} }
-	team := c.book.Door.Teams.Index(s.Team)
+	team := c.jobs.Names.Teams.Index(s.Team)
 	if c.quota.Team(team) == nil {
 		return no("unknown team")
 	}
--- a/internal/controller/why.go
+++ b/internal/controller/why.go
@@ -31,7 +31,7 @@
 
 // whyCall answers why a job waits, from what planning has noted.
 func (c *Controller) whyCall(now time.Duration, q intake.Call, reply func(intake.Reply)) {
-	j := c.book.Get(q.Name)
+	j := c.jobs.Get(q.Name)
 	if j == nil {
 		reply(intake.Refuse(404, notKept))
 		return
--- a/internal/controller/zones.go
+++ b/internal/controller/zones.go
@@ -26,7 +26,7 @@
 	if c.zoned.item.Value == nil {
 		return
 	}
-	err := c.cap.Zones.Restore(c.zoned.item.Value, c.book.Door.Zones.Index, c.book.SteadyAt)
+	err := c.cap.Zones.Restore(c.zoned.item.Value, c.jobs.Names.Zones.Index, c.jobs.SteadyAt)
 	if err != nil {
 		c.roll.Unreadable(zones.Key, c.zoned.item.Value, err)
 	}
@@ -39,7 +39,7 @@
 		return
 	}
 	c.zoned.writing, c.zoned.at = true, now
-	raw := z.Encode(c.book.Door.Zones.Name, c.book.WallMS)
+	raw := z.Encode(c.jobs.Names.Zones.Name, c.jobs.WallMS)
 	z.Clean()
 	c.commit(store.Txn{If: []store.Cond{{Key: zones.Key, Version: c.zoned.item.Version}}, Then: []store.Op{{Put: zones.Key, Value: raw}}}, store.Ordinary, func(r store.Result) {
 		c.zoned.writing = false
@@ -98,7 +98,7 @@
 	for _, t := range c.types {
 		v.BootS = max(v.BootS, t.BootS)
 	}
-	d := c.book.Door
+	d := c.jobs.Names
 	for _, l := range c.fleet.IfLost(d.Zones.Index(v.Zone)) {
 		v.IfLost = append(v.IfLost, LossView{d.Classes.Name(l.Class), d.Teams.Name(l.Team), l.Jobs, l.Tasks, l.Fit, l.Tasks - l.Fit})
 	}
@@ -111,7 +111,7 @@
 	by := map[int32]*ZoneView{}
 	out := make([]ZoneView, len(names))
 	for i, n := range names {
-		ix := c.book.Door.Zones.Index(n)
+		ix := c.jobs.Names.Zones.Index(n)
 		z := c.cap.Zones.Of(ix)
 		out[i] = ZoneView{Zone: n, State: z.State.String(), ForS: max(0, (now - z.Since).Seconds()), Flaps: z.Flaps, Rents: c.cap.Zones.Rents(ix), Takes: "all"}
 		switch {
--- a/internal/fleet/batch.go
+++ b/internal/fleet/batch.go
@@ -202,7 +202,7 @@
 // chunkNamed finds a chunk of a job that is open here, by its name in a page.
 func (f *Fleet) chunkNamed(name string) (*jobs.Job, *jobs.Chunk) {
 	id, no, ok := splitPlanName(name)
-	j := f.Book.Get(id)
+	j := f.Jobs.Get(id)
 	if !ok || j == nil || no >= len(j.Chunks) {
 		return nil, nil
 	}
--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -83,7 +83,7 @@
 
 func BenchmarkPlanWrite(b *testing.B) {
 	g, _ := loaded(b, 700, 4, 2000)
-	j := g.Book.Get("req-000001")
+	j := g.Jobs.Get("req-000001")
 	b.ReportAllocs()
 	for b.Loop() {
 		j.EncodeChunk(j.Chunks[0], 1, func(m int32) string { return g.machines[m].Name })
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -98,7 +98,7 @@
 	var classes []string
 	for c, n := range byClass {
 		if n > 0 {
-			classes = append(classes, fmt.Sprintf("%s:%d", f.Book.Door.Classes.Name(c), n))
+			classes = append(classes, fmt.Sprintf("%s:%d", f.Jobs.Names.Classes.Name(c), n))
 		}
 	}
 	sort.Strings(classes)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,7 +37,7 @@
 // Env is what a Fleet needs of its surroundings.
 type Env struct {
 	Settings *config.Settings
-	Book     *jobs.Book
+	Jobs     *jobs.Table
 	Types    func(int32) *Type // nil while unknown
 	Rng      *rand.Rand
 	// Room tells whether a write of n operations may go out now.
@@ -149,7 +149,7 @@
 		f.Paged = func() bool { return true }
 	}
 	f.pages = pages.New(min(pageBytes, int(env.Settings.Params.State.ValueKB*1024)*7/8))
-	d := env.Book.Door
+	d := env.Jobs.Names
 	f.Gate = admission.New(quota.New(env.Settings.Params.Teams, d.Teams.Index), licences.New(d.Pools, d.Teams.Index, now))
 	return f
 }
@@ -182,7 +182,7 @@
 	}
 }
 
-func (f *Fleet) job(ix jobs.Index) *jobs.Job { return f.Book.At(ix) }
+func (f *Fleet) job(ix jobs.Index) *jobs.Job { return f.Jobs.At(ix) }
 
 // Jobs tells of a change in the job table: a new job is opened, a cancelled one stopped.
 func (f *Fleet) Changed(now time.Duration, j *jobs.Job) {
--- a/internal/fleet/guards_test.go
+++ b/internal/fleet/guards_test.go
@@ -38,8 +38,8 @@
 	s.Params.Workers = config.Workers{ReportS: 3, LeaseS: 20, GangWaitS: 20, GangPeerS: 5, CancelS: 40}
 	s.Params.State.ValueKB = 8
 	s.Operator.NetworkFactor = 1
-	book := jobs.NewBook(0)
-	book.Door.Pools = licences.NewCatalog(pools)
+	book := jobs.NewTable(0)
+	book.Names.Pools = licences.NewCatalog(pools)
 	var plans []store.Item
 	for k, v := range kv {
 		g.rev++
@@ -50,7 +50,7 @@
 		}
 	}
 	g.Fleet = New(Env{
-		Settings: s, Book: book, Rng: rand.New(rand.NewPCG(1, 1)), TxnOps: 20, Now: func() time.Duration { return g.now },
+		Settings: s, Jobs: book, Rng: rand.New(rand.NewPCG(1, 1)), TxnOps: 20, Now: func() time.Duration { return g.now },
 		Types: func(int32) *Type { return &Type{Size: planner.Size{CPUs: 4, Mem: 16}, CacheGB: 10, FetchGB: 1} },
 		Room:  func(int) bool { return true },
 		Spare: func() bool { return true },
@@ -88,7 +88,7 @@
 func (g *rig) learn(key string, raw json.RawMessage) {
 	g.rev++
 	g.kv[key] = raw
-	if j, changed, err := g.Book.Apply(key[len(jobs.Prefix):], raw, g.rev); err != nil {
+	if j, changed, err := g.Jobs.Apply(key[len(jobs.Prefix):], raw, g.rev); err != nil {
 		g.t.Fatal(err)
 	} else if changed {
 		g.Changed(g.now, j)
@@ -102,7 +102,7 @@
 
 func (g *rig) submit(s *jobs.Spec) *jobs.Job {
 	g.learn(jobs.RecordKey(s.ID), jobs.EncodeRecord(jobs.Pending, 0, s.Tasks, s))
-	return g.Book.Get(s.ID)
+	return g.Jobs.Get(s.ID)
 }
 
 func (g *rig) cancel(j *jobs.Job) {
@@ -197,7 +197,7 @@
 	g.settle(store.Committed)
 
 	n := newRig(t, 2, kv)
-	j := n.Book.Get("req-000001")
+	j := n.Jobs.Get("req-000001")
 	if j.Tasks[0].State != jobs.Recovered || n.Gate.Quota.Team(j.Team).Used.CPUs != 1 {
 		t.Fatalf("state %v using %v, want recovered and counted", j.Tasks[0].State, n.Gate.Quota.Team(j.Team).Used)
 	}
@@ -300,7 +300,7 @@
 	g, j := launched(t)
 	g.cancel(j)
 	n := newRig(t, 2, g.kv)
-	if used := n.Gate.Quota.Team(n.Book.Door.Teams.Index("t")).Used.CPUs; used != 1 {
+	if used := n.Gate.Quota.Team(n.Jobs.Names.Teams.Index("t")).Used.CPUs; used != 1 {
 		t.Fatalf("uses %v, want the cancelled task counted", used)
 	}
 	task := TaskReport{Task: "req-000001/0", Attempt: j.Tasks[0].Attempt, State: running}
@@ -354,7 +354,7 @@
 		t.Fatal("no hints written")
 	}
 	n := newRig(t, 2, kv)
-	if m := n.Machine(0, "m"); !m.HasImage(n.Book.Door.Images.Index("i")) {
+	if m := n.Machine(0, "m"); !m.HasImage(n.Jobs.Names.Images.Index("i")) {
 		t.Fatal("the next owner does not know the image")
 	}
 	kv[imagesKey+"/0"] = json.RawMessage(`{"images":["i"],"gb":[1],"on":{"m":[0,7,-1]}}`)
--- a/internal/fleet/images.go
+++ b/internal/fleet/images.go
@@ -65,7 +65,7 @@
 		for _, c := range m.images {
 			i, ok := at[c.image]
 			if !ok {
-				name := f.Book.Door.Images.Name(c.image)
+				name := f.Jobs.Names.Images.Name(c.image)
 				if size += len(name) + 12; size > limit {
 					break
 				}
@@ -91,7 +91,7 @@
 		m := f.hints[name]
 		for _, i := range list {
 			if i >= 0 && int(i) < len(h.Images) {
-				m = append(m, cached{f.Book.Door.Images.Index(h.Images[i]), h.GB[i]})
+				m = append(m, cached{f.Jobs.Names.Images.Index(h.Images[i]), h.GB[i]})
 			}
 		}
 		f.hints[name] = m
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -23,7 +23,7 @@
 		}
 	}
 	found := map[*jobs.Chunk]uint64{}
-	for _, id := range f.Book.Unreads() {
+	for _, id := range f.Jobs.Unreads() {
 		f.unread[id] = true
 	}
 	values, lost := f.values(items)
@@ -35,13 +35,13 @@
 	if lost > 0 {
 		f.sealOlder(now, found, lost)
 	}
-	f.Book.Live(func(j *jobs.Job) {
+	f.Jobs.Live(func(j *jobs.Job) {
 		j.Open()
 		if j.Spec.Kind == jobs.Gang && j.DoneN > 0 {
 			f.gangDone(now, j)
 		}
 	})
-	f.Book.All(func(j *jobs.Job) {
+	f.Jobs.All(func(j *jobs.Job) {
 		if j.Stance.Terminal() && j.Tasks != nil {
 			f.over = append(f.over, j)
 		}
@@ -96,9 +96,9 @@
 		kept = append(kept, v)
 		if id, no, ok := splitPlanName(v.name); ok && v.page >= 0 {
 			ref := pages.Ref{A: -1 - int32(i), B: int32(no)}
-			if j := f.Book.Get(id); j != nil {
+			if j := f.Jobs.Get(id); j != nil {
 				ref.A = int32(j.Index)
-			} else if !f.Book.Unread(id) {
+			} else if !f.Jobs.Unread(id) {
 				continue
 			} // else its record can't be read: the plan stays, wherever its page is written, under a number that no job has
 			live[v.page] = append(live[v.page], pages.Entry{Ref: ref, Name: v.name, Raw: v.raw})
@@ -114,7 +114,7 @@
 func (f *Fleet) loadChunk(now time.Duration, v value) *jobs.Chunk {
 	key := jobs.PlanPrefix + v.name
 	id, no, ok := splitPlanName(v.name)
-	j := f.Book.Get(id)
+	j := f.Jobs.Get(id)
 	drop := func() {
 		if v.page >= 0 {
 			if j != nil {
@@ -125,7 +125,7 @@
 		f.garbage = append(f.garbage, key)
 	}
 	if !ok || j == nil || j.Stance == jobs.Done || j.Spec == nil {
-		if j == nil && f.Book.Unread(id) {
+		if j == nil && f.Jobs.Unread(id) {
 			return nil // its record can't be read: its plan is nobody's to drop
 		}
 		drop()
@@ -190,7 +190,7 @@
 // sealOlder shuts every chunk of a job that is not over whose value is older than a page that can't be read: it
 // may stand there anew.
 func (f *Fleet) sealOlder(now time.Duration, found map[*jobs.Chunk]uint64, page uint64) {
-	f.Book.All(func(j *jobs.Job) {
+	f.Jobs.All(func(j *jobs.Job) {
 		if j.Stance == jobs.Done || j.Spec == nil {
 			return
 		}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -222,7 +222,7 @@
 
 // Describe notes what the list or a report tells of a machine.
 func (f *Fleet) Describe(m *Machine, addr, typ, zone string, spot bool) {
-	d := f.Book.Door
+	d := f.Jobs.Names
 	z := d.Zones.Index(zone)
 	if m.Zone == jobs.None {
 		// Recovered tasks were counted before their machine's zone was known.
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -76,7 +76,7 @@
 	done     map[string]map[int32]bool
 	told     map[string]time.Duration // cancelled
 	fleet    *Fleet
-	book     *jobs.Book
+	book     *jobs.Table
 	leader   uint64 // version of the leader key
 	term     uint64
 	crashed  time.Duration
@@ -253,8 +253,8 @@
 	w.rev++
 	w.kv["leader"] = kvItem{json.RawMessage(`{}`), w.rev}
 	w.leader = w.rev
-	w.book = jobs.NewBook(0)
-	w.book.Door.Pools = licences.NewCatalog(w.pools)
+	w.book = jobs.NewTable(0)
+	w.book.Names.Pools = licences.NewCatalog(w.pools)
 	keys := make([]string, 0, len(w.kv))
 	for k := range w.kv {
 		keys = append(keys, k)
@@ -273,9 +273,9 @@
 	term, guard := w.term, store.Cond{Key: "leader", Version: w.leader}
 	var f *Fleet
 	f = New(Env{
-		Settings: w.settings, Book: w.book, Rng: w.rng, TxnOps: 5, Now: func() time.Duration { return w.now },
+		Settings: w.settings, Jobs: w.book, Rng: w.rng, TxnOps: 5, Now: func() time.Duration { return w.now },
 		Types: func(ix int32) *Type {
-			switch w.book.Door.Types.Name(ix) {
+			switch w.book.Names.Types.Name(ix) {
 			case "gpu":
 				return &Type{Size: planner.Size{CPUs: 8, GPUs: 2, Mem: 32}, CacheGB: 8, FetchGB: 1}
 			case "cpu":
@@ -908,7 +908,7 @@
 			if w.peak[p.Name] >= 5 {
 				full++
 			}
-			ix, _ := w.book.Door.Pools.Index(p.Name)
+			ix, _ := w.book.Names.Pools.Index(p.Name)
 			if v := w.fleet.Gate.Seats.Show(w.now, ix, func(int32) string { return "" }); v.Free != p.Count {
 				t.Fatalf("seed %d: pool %s is empty but %+v", seed, p.Name, v)
 			}
--- a/internal/fleet/observe.go
+++ b/internal/fleet/observe.go
@@ -56,7 +56,7 @@
 	if !ok {
 		return nil, 0
 	}
-	j := f.Book.Get(id)
+	j := f.Jobs.Get(id)
 	if j == nil || int(t) >= j.N {
 		return nil, 0
 	}
--- a/internal/fleet/pass.go
+++ b/internal/fleet/pass.go
@@ -189,7 +189,7 @@
 	}
 	f.expire(now)
 	if !f.Gate.Seats.None() {
-		f.Gate.Seats.Tick(now, time.UnixMilli(f.Book.WallMS(now)))
+		f.Gate.Seats.Tick(now, time.UnixMilli(f.Jobs.WallMS(now)))
 	}
 	planned := now >= f.nextPass
 	if planned {
--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -64,7 +64,7 @@
 		j.Place = 0
 	}
 	f.order = f.order[:0]
-	f.Book.Live(func(j *jobs.Job) {
+	f.Jobs.Live(func(j *jobs.Job) {
 		if j.Tasks != nil && j.Spec != nil {
 			f.order = append(f.order, j)
 		}
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -19,7 +19,7 @@
 func mixed(t *testing.T) *rig {
 	g := newRigOf(t, 1, map[string]json.RawMessage{}, []config.Team{{Name: "t", GPUs: 8}, {Name: "u", GPUs: 8}})
 	g.Types = func(ix int32) *Type {
-		if g.Book.Door.Types.Name(ix) == "gpu" {
+		if g.Jobs.Names.Types.Name(ix) == "gpu" {
 			return &Type{Size: planner.Size{CPUs: 12, GPUs: 2, Mem: 96}, CacheGB: 100, FetchGB: 1}
 		}
 		return &Type{Size: planner.Size{CPUs: 8, Mem: 16}, CacheGB: 100, FetchGB: 1}
@@ -170,7 +170,7 @@
 	g.see("g2", "gpu", false)
 	s := gang(1, 2, "t")
 	s.ImageGB = 40 // 40 s, twice what a task waits for its gang
-	g.Find("g1").touchImage(g.Book.Door.Images.Index(s.Image), 40, 100)
+	g.Find("g1").touchImage(g.Jobs.Names.Images.Index(s.Image), 40, 100)
 	g.submit(s)
 	g.settle(store.Committed)
 	at, on := map[string]time.Duration{}, map[string][]TaskReport{}
--- a/internal/fleet/seats.go
+++ b/internal/fleet/seats.go
@@ -135,8 +135,8 @@
 			f.preemptSeats(now, j, asks[i], g)
 		}
 	}
-	for _, p := range f.Book.Door.Pools.Pools() {
-		if ix, ok := f.Book.Door.Pools.Index(p.Name); ok {
+	for _, p := range f.Jobs.Names.Pools.Pools() {
+		if ix, ok := f.Jobs.Names.Pools.Index(p.Name); ok {
 			f.stopExcess(now, ix)
 		}
 	}
@@ -172,7 +172,7 @@
 // holders lists who holds seats of a pool on a machine and may be stopped, least costly first:
 // seconds of work lost for each seat. Gangs go whole. halting is what is on its way out.
 func (f *Fleet) holders(now time.Duration, pool int32, may func(*jobs.Job) bool) (hs []holder, halting int) {
-	f.Book.All(func(j *jobs.Job) {
+	f.Jobs.All(func(j *jobs.Job) {
 		i := slices.IndexFunc(j.Seats, func(u licences.Unit) bool { return u.Pool == pool })
 		if i < 0 || j.Tasks == nil || j.On() == 0 {
 			return
@@ -239,7 +239,7 @@
 	if enough := f.pick(hs, over); enough != nil {
 		hs = enough // otherwise all of them: others hold more than the count
 	}
-	f.stopHolders(hs, "the count was lowered", f.Book.Door.Pools.Pools()[pool].Name)
+	f.stopHolders(hs, "the count was lowered", f.Jobs.Names.Pools.Pools()[pool].Name)
 }
 
 // preemptSeats has others stopped for a job that waits for seats, by the same rules as for
@@ -298,7 +298,7 @@
 // soonestSeat estimates in how many seconds the next holder of a pool ends by itself.
 func (f *Fleet) soonestSeat(now time.Duration, pool int32) float64 {
 	soonest := 1e6
-	f.Book.All(func(j *jobs.Job) {
+	f.Jobs.All(func(j *jobs.Job) {
 		if j.Tasks == nil || j.On() == 0 || !slices.ContainsFunc(j.Seats, func(u licences.Unit) bool { return u.Pool == pool }) {
 			return
 		}
--- a/internal/fleet/seats_test.go
+++ b/internal/fleet/seats_test.go
@@ -337,7 +337,7 @@
 			g.hear(m, 1, fenced, ts...)
 		}
 		g.settle(store.Committed)
-		if gang := g.Book.Get("req-000002"); gang.In[jobs.Planned]+gang.On() != 2 || j.In[jobs.Planned] != 0 {
+		if gang := g.Jobs.Get("req-000002"); gang.In[jobs.Planned]+gang.On() != 2 || j.In[jobs.Planned] != 0 {
 			t.Fatalf("guaranteed %v: the gang has %d planned, its victims %d", guaranteed, gang.In[jobs.Planned], j.In[jobs.Planned])
 		}
 	}
--- a/internal/fleet/why.go
+++ b/internal/fleet/why.go
@@ -106,7 +106,7 @@
 			}
 		}
 		add(held[z], ZoneLost, "on machines of zone %s, which have not been heard for up to %.0f s: they may still run there, and start elsewhere when the leases are over, in at most %.0f s",
-			f.Book.Door.Zones.Name(z), (now - since).Seconds(), max(0, last.Seconds()))
+			f.Jobs.Names.Zones.Name(z), (now - since).Seconds(), max(0, last.Seconds()))
 	}
 	add(arriving, Arriving, "sent to their machines: they start, fetch their image, or wait for the rest of their gang")
 	return parts
@@ -129,7 +129,7 @@
 			amount(s.CPUs, s.GPUs), amount(t.Limit.CPUs, t.Limit.GPUs))
 	case Licence:
 		pool := "a pool that is not declared here"
-		if ps := f.Book.Door.Pools.Pools(); v.denial.Pool >= 0 && int(v.denial.Pool) < len(ps) {
+		if ps := f.Jobs.Names.Pools.Pools(); v.denial.Pool >= 0 && int(v.denial.Pool) < len(ps) {
 			pool = ps[v.denial.Pool].Name
 		}
 		add(n, v.cause, "licence %s: %s", pool, v.denial.Seat)
--- a/internal/fleet/why_test.go
+++ b/internal/fleet/why_test.go
@@ -105,7 +105,7 @@
 // lingers tells whether seats are counted that no task of ours holds, and claimed whether a claim
 // stands that a plain look at machines doesn't see.
 func lingers(f *Fleet) bool {
-	for i := range f.Book.Door.Pools.Pools() {
+	for i := range f.Jobs.Names.Pools.Pools() {
 		if v := f.Gate.Seats.Show(0, int32(i), func(int32) string { return "" }); v.Lingering > 0 || v.Line != "open" || v.Booked > 0 {
 			return true
 		}
@@ -154,7 +154,7 @@
 		g.submit(s)
 	}
 	g.settle(0)
-	ids, n := g.Ahead(g.Book.Get("req-000005"), 2)
+	ids, n := g.Ahead(g.Jobs.Get("req-000005"), 2)
 	if n != 4 || len(ids) != 2 || ids[0] != "req-000004" || ids[1] != "req-000003" {
 		t.Fatalf("%d ahead, %v", n, ids)
 	}
--- a/internal/intake/abort.go
+++ b/internal/intake/abort.go
@@ -40,7 +40,7 @@
 }
 
 func (n *Intake) abort(w *access.Who, id string, reply func(Reply), tries int) {
-	j := n.Book.Get(id)
+	j := n.Jobs.Get(id)
 	if j != nil && j.Stance.Terminal() {
 		reply(n.show(j, false))
 		return
@@ -58,7 +58,7 @@
 				n.abortArchived(w, id, reply, tries)
 			default:
 				n.Learned(n.Store.Now(), it)
-				if n.Book.Unread(id) {
+				if n.Jobs.Unread(id) {
 					reply(unreadable)
 					return
 				}
@@ -71,7 +71,7 @@
 		return
 	}
 	key := jobs.RecordKey(id)
-	raw := jobs.EncodeRecord(jobs.Cancelled, n.Book.WallMS(j.At), j.N, j.Spec)
+	raw := jobs.EncodeRecord(jobs.Cancelled, n.Jobs.WallMS(j.At), j.N, j.Spec)
 	n.Store.Txn(store.Txn{If: n.guarded(store.Cond{Key: key, Version: j.Version}), Then: []store.Op{{Put: key, Value: raw}}},
 		store.Ordinary, func(r store.Result) {
 			switch r.Outcome {
@@ -97,7 +97,7 @@
 // abortArchived answers a cancellation after the job's record was seen to be absent.
 func (n *Intake) abortArchived(w *access.Who, id string, reply func(Reply), tries int) {
 	n.Archive.Find(id, store.Ordinary, func(a archive.Answer, found bool, err error) {
-		switch j := n.Book.Get(id); {
+		switch j := n.Jobs.Get(id); {
 		case errors.Is(err, archive.ErrUnreadable):
 			reply(unreadable)
 		case err != nil:
--- a/internal/intake/bench_test.go
+++ b/internal/intake/bench_test.go
@@ -45,7 +45,7 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		book := jobs.NewBook(0)
+		book := jobs.NewTable(0)
 		for _, it := range items {
 			if _, _, err := book.Apply(strings.TrimPrefix(it.Key, jobs.Prefix), it.Value, it.Version); err != nil {
 				b.Fatal(err)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -62,7 +62,7 @@
 // Env is what intake needs of its surroundings.
 type Env struct {
 	Store *store.Client
-	Book  *jobs.Book
+	Jobs  *jobs.Table
 	// Archive finds the answers of jobs that ended long ago.
 	Archive *archive.Reader
 	Admit   Admission
--- a/internal/intake/question.go
+++ b/internal/intake/question.go
@@ -80,7 +80,7 @@
 	for ; k < len(n.checks) && len(t.If)+condsPerCheck <= condsPerOp*n.TxnOps && len(seen) < mostChecked; k++ {
 		c := n.checks[k]
 		c.version = 0
-		if j := n.Book.Get(c.id); j != nil {
+		if j := n.Jobs.Get(c.id); j != nil {
 			c.version = j.Version
 		}
 		if !seen[c.id] {
@@ -115,7 +115,7 @@
 		return
 	}
 	for _, c := range batch {
-		j := n.Book.Get(c.id)
+		j := n.Jobs.Get(c.id)
 		switch {
 		case !failed[jobs.RecordKey(c.id)] && !failed[archive.Key(c.id)]:
 			// Our version was the newest when the check ran. What has been learnt since
--- a/internal/intake/resolve.go
+++ b/internal/intake/resolve.go
@@ -23,7 +23,7 @@
 
 // final gives the answer about a job that is known to have ended; it never changes, so no read is needed.
 func (n *Intake) final(id string, full bool) (Reply, bool) {
-	if j := n.Book.Get(id); j != nil {
+	if j := n.Jobs.Get(id); j != nil {
 		return n.show(j, full), j.Stance.Terminal()
 	}
 	a, ok := n.Archive.Known(id)
@@ -60,8 +60,8 @@
 			return
 		}
 		n.Learned(n.Store.Now(), it)
-		switch j := n.Book.Get(id); {
-		case n.Book.Unread(id):
+		switch j := n.Jobs.Get(id); {
+		case n.Jobs.Unread(id):
 			reply(unreadable)
 		case j != nil:
 			reply(n.show(j, full))
@@ -75,7 +75,7 @@
 // archived answers from a job's archived answer, after its record was seen to be absent.
 func (n *Intake) archived(id string, reply func(Reply), full bool, absent Reply) {
 	n.Archive.Find(id, classOf(full), func(a archive.Answer, found bool, err error) {
-		switch j := n.Book.Get(id); {
+		switch j := n.Jobs.Get(id); {
 		case errors.Is(err, archive.ErrUnreadable):
 			reply(unreadable)
 		case err != nil:
--- a/internal/intake/submit.go
+++ b/internal/intake/submit.go
@@ -30,7 +30,7 @@
 		reply(refuse(503, "still reading the jobs"))
 		return
 	}
-	if j := n.Book.Get(s.ID); j != nil {
+	if j := n.Jobs.Get(s.ID); j != nil {
 		if j.Stance.Terminal() {
 			reply(n.show(j, false))
 			return
@@ -61,13 +61,13 @@
 		reply(refuse(503, "the state service does not answer"))
 		return
 	}
-	raw := jobs.EncodeRecord(jobs.Pending, n.Book.WallMS(now), s.Tasks, s)
+	raw := jobs.EncodeRecord(jobs.Pending, n.Jobs.WallMS(now), s.Tasks, s)
 	if len(raw) > n.MaxValue {
 		reply(refuse(422, "the job's description is larger than what can be stored of a job"))
 		return
 	}
 	// Every job is taken for itself; together they must fit the leader's memory.
-	if live := n.Book.LiveTasks(); live > 0 && live+s.Tasks > n.MaxTasks {
+	if live := n.Jobs.LiveTasks(); live > 0 && live+s.Tasks > n.MaxTasks {
 		reply(refuse(429, "too many unfinished tasks"))
 		return
 	}
@@ -160,7 +160,7 @@
 // accepted answers a submission whose record is durable. Others may have read the record, users may have cancelled the
 // job, and it may even be over, before the answer of the state service came: the newest that is known goes out.
 func (n *Intake) accepted(s submit) {
-	switch j := n.Book.Get(s.spec.ID); {
+	switch j := n.Jobs.Get(s.spec.ID); {
 	case j == nil:
 		n.reread(s.spec.ID, s.reply, false, notStored)
 	case j.Stance.Terminal():
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -76,13 +76,13 @@
 	if err != nil || s.Licences["p"] != 2 {
 		t.Fatalf("%+v, %v", s, err)
 	}
-	b := NewBook(0)
+	b := NewTable(0)
 	j, _, err := b.Apply(s.ID, EncodeRecord(Pending, 5, 16, s), 1)
 	if err != nil || len(j.Seats) != 1 || j.Seats[0].Pool != None {
 		t.Fatalf("seats %v of an undeclared pool, %v", j.Seats, err)
 	}
-	b = NewBook(0)
-	b.Door.Pools = licences.NewCatalog([]*licences.Pool{{Name: "o"}, {Name: "p"}})
+	b = NewTable(0)
+	b.Names.Pools = licences.NewCatalog([]*licences.Pool{{Name: "o"}, {Name: "p"}})
 	if j, _, err = b.Apply(s.ID, EncodeRecord(Pending, 5, 16, s), 1); err != nil || j.Seats[0] != (licences.Unit{Pool: 1, N: 2}) {
 		t.Fatalf("seats %v, %v", j.Seats, err)
 	}
@@ -176,7 +176,7 @@
 		st  Stance
 	}{{EncodeRecord(Pending, 5, 2, s), 3, Pending}, {EncodeRecord(Pending, 5, 2, s), 4, Pending}, {EncodeRecord(Cancelled, 5, 2, s), 9, Cancelled}}
 	for range 200 {
-		b := NewBook(0)
+		b := NewTable(0)
 		newest := 0
 		for _, i := range rng.Perm(len(recs)) {
 			if _, _, err := b.Apply(s.ID, recs[i].raw, recs[i].v); err != nil {
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -1,148 +1,283 @@
 package jobs
 
-import "time"
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"time"
 
-// shardJobs is how many consecutive indices share one allocation of the table.
-const shardJobs = 256
+	"github.com/harewalk/harewalk/internal/licences"
+)
 
-// table finds jobs by index. Indices only grow, so that whoever still holds the index of a job that has left never
-// takes another for it; a shard is freed when the last of its jobs has left. What remains of it is one pointer.
-type table struct {
-	shards []*shard
-	next   Index
-}
+// Index is a job's dense index on this controller.
+type Index int32
+
+// Job is one job as this controller knows it. Tasks exist only where it is planned.
+type Job struct {
+	Index   Index
+	ID      string
+	Spec    *Spec // nil once terminal and nothing of it is left
+	Stance  Stance
+	Version uint64 // of the record
+	N       int
+	At      time.Duration // submission, on this controller's steady clock
+	Beside  time.Duration // since when nothing of it is on a machine though there is room, as its planner sees it; 0: that isn't so
+
+	Tasks  []Task
+	Chunks []*Chunk
+	In     [Finished + 1]int // tasks by state, kept by Set
+	Runs   int               // tasks that run or save, kept by Enter
+
+	DoneN    int // finished tasks, as far as known here
+	RunningN int // display only
+
+	Attempt uint64        // of a gang's current start
+	GangAt  time.Duration // when that was
+	FetchS  float64       // the longest fetch that it waits for, in seconds
+	Level   int
+
+	// Dense indices of the names in the spec.
+	Class, Team, Image int32
+	Zone               int32   // the only zone, or None
+	Types              []int32 // the only machine types, or nil
+	// Seats is what each task holds of the licence pools. One that is not known here makes
+	// the job wait.
+	Seats []licences.Unit
+	// Denied is why its planner has no seats for its waiting tasks.
+	Denied licences.Denial
+
+	// ZoneUse counts, by dense zone, the tasks that may be on a machine there.
+	ZoneUse map[int32]int
 
-type shard struct {
-	jobs [shardJobs]*Job
-	n    int
+	// Avoid holds machines on which a task of the job failed, and until when they are
+	// avoided: mostly the machine is at fault, but a mistaken job fails on all.
+	Avoid map[int32]time.Duration
+
+	// GangDone tells that a task of the gang is done, and so all are.
+	GangDone bool
+
+	// Parked keeps its tasks off machines: a session that was reclaimed.
+	Parked bool
+	// Sealed: something stored of it can't be read. Nothing of it is planned or started, nothing is told of it.
+	Sealed bool
+
+	Closing bool // the terminal record is being written
+	Started bool // some task was launched at least once
+
+	// Place is its rank among the live jobs of its planner, from 1; 0: it has none.
+	Place int
+	// EndedAt is when this controller learnt that the job is terminal, on its steady clock.
+	EndedAt time.Duration
+	// Archived: its record is gone from the followed keys, and it leaves the table once its planner holds nothing of it.
+	Archived bool
+	gone     bool // it has left the table
 }
 
-// add gives a job its index.
-func (t *table) add(j *Job) {
-	j.Index = t.next
-	t.next++
-	if int(j.Index)/shardJobs == len(t.shards) {
-		t.shards = append(t.shards, &shard{})
-	}
-	s := t.shards[j.Index/shardJobs]
-	s.jobs[j.Index%shardJobs] = j
-	s.n++
+// Names maps the names of one kind to dense indices.
+type Names struct {
+	index map[string]int32
+	names []string
 }
 
-func (t *table) at(i Index) *Job {
-	if i < 0 || i >= t.next {
-		return nil
+// Index finds or makes a name's index.
+func (n *Names) Index(name string) int32 {
+	if i, ok := n.index[name]; ok {
+		return i
 	}
-	s := t.shards[i/shardJobs]
-	if s == nil {
-		return nil
+	if n.index == nil {
+		n.index = map[string]int32{}
 	}
-	return s.jobs[i%shardJobs]
+	i := int32(len(n.names))
+	name = strings.Clone(name)
+	n.names = append(n.names, name)
+	n.index[name] = i
+	return i
 }
 
-// remove takes a job out.
-func (t *table) remove(j *Job) {
-	i := int(j.Index)
-	s := t.shards[i/shardJobs]
-	s.jobs[i%shardJobs] = nil
-	s.n--
-	if full := int(t.next) >= (i/shardJobs+1)*shardJobs; full && s.n == 0 {
-		t.shards[i/shardJobs] = nil
-	}
+// Name gives the name back.
+func (n *Names) Name(i int32) string { return n.names[i] }
+
+// Len is the number of names.
+func (n *Names) Len() int { return len(n.names) }
+
+// NameIndex holds the tables of all kinds of names.
+type NameIndex struct {
+	Classes, Teams, Images, Zones, Types Names
+	// Pools finds the licence pools by name.
+	Pools *licences.Catalog
 }
 
-// all calls f for every job in the order of their indices; f may remove it.
-func (t *table) all(f func(*Job)) {
-	for _, s := range t.shards {
-		if s == nil {
-			continue
+// enter maps a spec's names.
+func (d *NameIndex) enter(j *Job) {
+	s := j.Spec
+	j.Class, j.Team, j.Image, j.Zone = d.Classes.Index(s.Class), d.Teams.Index(s.Team), d.Images.Index(s.Image), None
+	if s.Zone != nil {
+		j.Zone = d.Zones.Index(*s.Zone)
+	}
+	j.Types = nil
+	for _, t := range s.Types {
+		j.Types = append(j.Types, d.Types.Index(t))
+	}
+	j.Seats = nil
+	if len(s.Licences) > 0 {
+		var err error
+		if j.Seats, err = d.Pools.Needs(s.Licences); err != nil {
+			// It was accepted where the pool is declared: here it must not start.
+			j.Seats = []licences.Unit{{Pool: None, N: 1}}
 		}
-		for _, j := range s.jobs {
-			if j != nil {
-				f(j)
-			}
+	}
+}
+
+// Allows tells whether the job may run on a kind of machine.
+func (j *Job) Allows(typ, zone int32, spot bool) bool {
+	if j.Spec == nil || (spot && !j.Spec.Spot) || (j.Zone != None && j.Zone != zone) {
+		return false
+	}
+	if j.Types == nil {
+		return true
+	}
+	for _, t := range j.Types {
+		if t == typ {
+			return true
 		}
 	}
+	return false
 }
 
-// endedQueue lists terminal jobs in the order in which this controller learnt of their ends. Those that have left
-// the table are dropped now and then.
-type endedQueue struct {
-	jobs []*Job
-	left int // of the jobs listed, how many have left the table
+// Table is the table of all jobs. It never tells an older stance than it has told.
+type Table struct {
+	byID  map[string]*Job
+	table shardedJobs
+	live  map[Index]*Job
+	ended endedQueue
+	tasks int   // of live jobs
+	epoch int64 // wall-clock milliseconds at steady time 0
+	Names *NameIndex
+	// unread are the jobs whose newest record can't be read, with its version.
+	unread map[string]uint64
 }
 
-func (q *endedQueue) add(j *Job) { q.jobs = append(q.jobs, j) }
+// NewTable makes an empty table; epochMS is the wall clock at steady time 0.
+func NewTable(epochMS int64) *Table {
+	return &Table{unread: map[string]uint64{}, byID: map[string]*Job{}, live: map[Index]*Job{}, epoch: epochMS, Names: &NameIndex{Pools: licences.NewCatalog(nil)}}
+}
 
-// leastEnded is how many jobs that have left the queue may list whatever its length.
-const leastEnded = 64
+// At finds a job by index; nil: it has left the table. An index is never used for a second job.
+func (b *Table) At(i Index) *Job { return b.table.at(i) }
 
-// leave notes that a listed job has left the table.
-func (q *endedQueue) leave() {
-	if q.left++; q.left < leastEnded || q.left < len(q.jobs)/2 {
-		return
-	}
-	kept := make([]*Job, 0, len(q.jobs)-q.left)
-	for _, j := range q.jobs {
-		if !j.gone {
-			kept = append(kept, j)
-		}
+// Get finds a job by id, or nil.
+func (b *Table) Get(id string) *Job { return b.byID[id] }
+
+// Unread tells whether the newest record of a job can't be read: nothing may be told of it, and nothing done.
+func (b *Table) Unread(id string) bool { _, ok := b.unread[id]; return ok }
+
+// Unreads lists the jobs whose newest record can't be read.
+func (b *Table) Unreads() []string { return slices.Sorted(maps.Keys(b.unread)) }
+
+// Len is the number of jobs known.
+func (b *Table) Len() int { return len(b.byID) }
+
+// LiveTasks is the number of tasks of all jobs that are not terminal.
+func (b *Table) LiveTasks() int { return b.tasks }
+
+// Live calls f for every job that is not terminal; the order is not defined.
+func (b *Table) Live(f func(*Job)) {
+	for _, j := range b.live {
+		f(j)
 	}
-	q.jobs, q.left = kept, 0
 }
 
-// Ended calls f for each terminal job whose end was learnt by a time, the earliest first, until it returns false.
-func (b *Book) Ended(by time.Duration, f func(*Job) bool) {
-	for _, j := range b.ended.jobs {
-		if j.EndedAt > by {
-			return
+// Apply takes over a record that was read or committed and returns the job if its stance
+// is new here. Records only go forward: an older version, which a read that raced with the
+// follow may bring, is ignored, and a terminal stance stays.
+func (b *Table) Apply(id string, raw json.RawMessage, version uint64) (*Job, bool, error) {
+	j := b.Get(id)
+	if j != nil && (version <= j.Version || j.Stance.Terminal()) {
+		return j, false, nil
+	}
+	r, st, err := decodeRecord(raw)
+	if err != nil {
+		b.unread[id] = version
+		if j != nil {
+			j.Sealed = true
 		}
-		if !j.gone && !j.Archived && !f(j) {
-			return
+		return j, false, err
+	}
+	if v, was := b.unread[id]; was {
+		if version < v {
+			return j, false, nil // what can't be read is newer
+		}
+		delete(b.unread, id)
+		if j != nil {
+			j.Sealed = false
 		}
 	}
+	if j == nil {
+		j = &Job{ID: strings.Clone(id), N: r.N, ZoneUse: map[int32]int{}}
+		b.table.add(j)
+		b.byID[j.ID] = j
+	} else if j.Stance == st {
+		j.Version = version
+		return j, false, nil
+	}
+	j.Version = version
+	b.setStance(j, st)
+	if r.Spec != nil {
+		j.Spec = r.Spec
+		j.Level = r.Spec.Level()
+		b.Names.enter(j)
+		j.At = b.SteadyAt(r.AtMS)
+	}
+	return j, true, nil
 }
 
-// Archive takes over that a job's record has left the followed keys, at a version of its key. The job leaves the table
-// at once, or with the end of the term if its planner still holds something of it.
-func (b *Book) Archive(id string, version uint64) {
-	delete(b.unread, id)
-	j := b.Get(id)
-	if j == nil || version <= j.Version {
+// setStance is the only place where a job's stance changes.
+func (b *Table) setStance(j *Job, st Stance) {
+	j.Stance = st
+	if _, was := b.live[j.Index]; was != !st.Terminal() {
+		if was {
+			b.tasks -= j.N
+		} else {
+			b.tasks += j.N
+		}
+	}
+	if st.Terminal() {
+		delete(b.live, j.Index)
+		b.ended.add(j)
+		if st == Done {
+			j.DoneN = j.N
+		}
+		j.RunningN = 0
 		return
 	}
-	b.archive(j)
+	b.live[j.Index] = j
+}
+
+// WallMS is the wall clock at a steady time.
+func (b *Table) WallMS(now time.Duration) int64 { return b.epoch + now.Milliseconds() }
+
+// SteadyAt is the steady time at a time on the wall.
+func (b *Table) SteadyAt(wallMS int64) time.Duration {
+	return time.Duration(wallMS-b.epoch) * time.Millisecond
 }
 
-// Retain takes a new reading of all records, complete up to a version: jobs that were known by then and are not among
-// them have been archived meanwhile.
-func (b *Book) Retain(version uint64, present func(id string) bool) {
+// Recall drops what only the job's planner needs: after losing the lead.
+func (b *Table) Recall() {
 	b.All(func(j *Job) {
-		if j.Version <= version && !present(j.ID) {
-			b.archive(j)
+		j.Runs, j.Place = 0, 0
+		j.Parked, j.Sealed = false, b.Unread(j.ID)
+		j.Tasks, j.Chunks, j.Closing, j.Started, j.GangDone, j.Attempt, j.Beside = nil, nil, false, false, false, 0, 0
+		clear(j.ZoneUse)
+		clear(j.Avoid)
+		if j.Archived {
+			b.remove(j)
 		}
 	})
 }
 
-func (b *Book) archive(j *Job) {
-	if j.Tasks == nil {
-		b.remove(j)
-		return
-	}
-	// Nobody but the leader archives, and only what it holds nothing of: another controller leads by now, and this
-	// one's picture is behind. Nothing more is planned or started of it here.
-	j.Archived, j.Sealed = true, true
-}
+// Idle tells whether nothing of the job is to be planned.
+func (j *Job) Idle() bool { return j.Parked || j.Sealed }
 
-// remove takes a job out of the table.
-func (b *Book) remove(j *Job) {
-	if _, live := b.live[j.Index]; live {
-		delete(b.live, j.Index)
-		b.tasks -= j.N
-	} else {
-		b.ended.leave()
-	}
-	j.gone = true
-	delete(b.byID, j.ID)
-	b.table.remove(j)
-}
+// All calls f for every job.
+func (b *Table) All(f func(*Job)) { b.table.all(f) }
--- a/internal/sessions/manager.go
+++ b/internal/sessions/manager.go
@@ -22,7 +22,7 @@
 // Env is what a Manager needs of its surroundings.
 type Env struct {
 	Policies *Policies
-	Book     *jobs.Book
+	Jobs     *jobs.Table
 	// Wall is the time of day at a steady time.
 	Wall func(now time.Duration) time.Time
 	// Commit sends one transaction of the leader, guarded by its leader key.
@@ -95,7 +95,7 @@
 		}
 		if err != nil {
 			// Whether it was reclaimed isn't known: what runs of it goes on, nothing more is started.
-			if j := m.Book.Get(strings.TrimPrefix(it.Key, Prefix)); j != nil {
+			if j := m.Jobs.Get(strings.TrimPrefix(it.Key, Prefix)); j != nil {
 				j.Sealed = true
 			}
 			if m.Unreadable != nil {
@@ -107,7 +107,7 @@
 		if r.Reclaimed {
 			s.state = Reclaimed
 			m.teams[r.Team]--
-			if j := m.Book.Get(s.id); j != nil {
+			if j := m.Jobs.Get(s.id); j != nil {
 				m.Park(now, j, true)
 			}
 		}
@@ -145,7 +145,7 @@
 
 // look moves a session on, as far as time alone does.
 func (m *Manager) look(now time.Duration, s *session) {
-	j := m.Book.Get(s.id)
+	j := m.Jobs.Get(s.id)
 	if j == nil || s.writing {
 		return
 	}
@@ -257,7 +257,7 @@
 	var of []*jobs.Job
 	var ss []*session
 	for _, s := range m.asking {
-		if j := m.Book.Get(s.id); j != nil && s.state == Quiet {
+		if j := m.Jobs.Get(s.id); j != nil && s.state == Quiet {
 			of, ss = append(of, j), append(ss, s)
 		}
 	}
@@ -294,7 +294,7 @@
 	if s == nil || !opens(token, s.rec.Agent) {
 		return o, false, notYours
 	}
-	j := m.Book.Get(id)
+	j := m.Jobs.Get(id)
 	if j == nil || j.Stance.Terminal() {
 		return Order{State: Closed.String()}, true, ""
 	}
--- a/internal/sessions/manager_test.go
+++ b/internal/sessions/manager_test.go
@@ -14,8 +14,8 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/harewalk/harewalk/internal/calendar"
 	"github.com/harewalk/harewalk/internal/archive"
+	"github.com/harewalk/harewalk/internal/calendar"
 	"github.com/harewalk/harewalk/internal/jobs"
 	"github.com/harewalk/harewalk/internal/store"
 )
@@ -54,7 +54,7 @@
 	kv      map[string]store.Item
 	rev     uint64
 	commits []func(outcome int)
-	book    *jobs.Book
+	book    *jobs.Table
 	nb      *notebook // of the attempt that runs, nil: none
 	next    uint64
 	ending  bool
@@ -93,7 +93,7 @@
 func (d *desk) lead(p *Policies) {
 	d.term++
 	d.commits, d.parked = nil, false // a new term's fleet parks what it is told to
-	d.book = jobs.NewBook(0)
+	d.book = jobs.NewTable(0)
 	var items []store.Item
 	for k, it := range d.kv {
 		if strings.HasPrefix(k, Prefix) {
@@ -103,7 +103,7 @@
 		}
 	}
 	var m *Manager
-	m = New(Env{Policies: p, Book: d.book, Now: func() time.Duration { return d.now },
+	m = New(Env{Policies: p, Jobs: d.book, Now: func() time.Duration { return d.now },
 		Wall: func(now time.Duration) time.Time { return time.Unix(1_790_000_000, 0).Add(now) },
 		Commit: func(t store.Txn, done func(store.Result)) {
 			d.commits = append(d.commits, func(outcome int) { d.commit(m, t, outcome, done) })
@@ -968,7 +968,7 @@
 func BenchmarkTick(b *testing.B) {
 	p := policies(b)
 	p.PerUser, p.PerTeam, p.Default.Limit = 0, 0, time.Hour
-	m := New(Env{Policies: p, Book: jobs.NewBook(0), Wall: func(now time.Duration) time.Time { return time.Unix(0, 0).Add(now) },
+	m := New(Env{Policies: p, Jobs: jobs.NewTable(0), Wall: func(now time.Duration) time.Time { return time.Unix(0, 0).Add(now) },
 		Task: func(*jobs.Job) Task { return Task{On: true} }, Now: func() time.Duration { return 0 },
 		Wanted: func(_ time.Duration, of []*jobs.Job) []string { return make([]string, len(of)) }}, 1)
 	const n = 10_000
@@ -976,7 +976,7 @@
 	for i := range ids {
 		ids[i] = fmt.Sprintf("req-%06d", i)
 		spec := &jobs.Spec{ID: ids[i], Team: "t", Kind: jobs.Service, Priority: "standard", Tasks: 1}
-		if _, _, err := m.Book.Apply(ids[i], jobs.EncodeRecord(jobs.Pending, 0, 1, spec), 1); err != nil {
+		if _, _, err := m.Jobs.Apply(ids[i], jobs.EncodeRecord(jobs.Pending, 0, 1, spec), 1); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/sessions/users.go
+++ b/internal/sessions/users.go
@@ -72,7 +72,7 @@
 		reply(Answer{Status: 200, View: m.view(now, s)})
 		return
 	}
-	if m.Book.Get(id) != nil {
+	if m.Jobs.Get(id) != nil {
 		// A job of that id, or this session: its write may have landed after its answer was lost.
 		m.reopen(q, no(409, "the id %s is taken by a job", id), reply)
 		return
@@ -88,7 +88,7 @@
 	}
 	rec := Record{User: q.User, Team: team, Token: q.Token, Agent: q.Agent, OpenedMS: m.Wall(now).UnixMilli()}
 	raw, _ := json.Marshal(rec)
-	job := jobs.EncodeRecord(jobs.Pending, m.Book.WallMS(now), 1, q.Spec)
+	job := jobs.EncodeRecord(jobs.Pending, m.Jobs.WallMS(now), 1, q.Spec)
 	key := jobs.RecordKey(id)
 	m.opens["u/"+q.User]++
 	m.opens["t/"+team]++
@@ -157,7 +157,7 @@
 }
 
 func (m *Manager) attach(now time.Duration, s *session, reply func(Answer)) {
-	j := m.Book.Get(s.id)
+	j := m.Jobs.Get(s.id)
 	if s.state == Closed || j == nil || j.Stance.Terminal() {
 		reply(no(410, "the session is closed"))
 		return
@@ -223,7 +223,7 @@
 	if reply == nil {
 		reply = func(Answer) {}
 	}
-	j := m.Book.Get(s.id)
+	j := m.Jobs.Get(s.id)
 	if s.state == Closed || j == nil || j.Stance.Terminal() {
 		if s.state != Closed && !s.writing {
 			m.forget(now, s)
@@ -232,7 +232,7 @@
 		return
 	}
 	key := jobs.RecordKey(s.id)
-	raw := jobs.EncodeRecord(jobs.Cancelled, m.Book.WallMS(j.At), j.N, j.Spec)
+	raw := jobs.EncodeRecord(jobs.Cancelled, m.Jobs.WallMS(j.At), j.N, j.Spec)
 	s.writing = true
 	m.Commit(store.Txn{If: []store.Cond{{Key: key, Version: j.Version}}, Then: []store.Op{{Put: key, Value: raw}, {Delete: Key(s.id)}}}, func(r store.Result) {
 		at := m.Now()
--- a/internal/world/archive_test.go
+++ b/internal/world/archive_test.go
@@ -356,7 +356,7 @@
 		r.StartController(i)
 	}
 	r.reach("led", 20*time.Second, func() bool { return len(r.Leading()) > 0 })
-	r.Advance(2 * time.Second) // plans are read
+	r.Advance(2 * time.Second)     // plans are read
 	for _, m := range r.machines { // their reports say nothing meanwhile
 		m.muteTill = r.Now() + 4*time.Second
 	}
--- a/internal/world/stored_test.go
+++ b/internal/world/stored_test.go
@@ -49,7 +49,7 @@
 func TestStoredByEarlierReleases(t *testing.T) {
 	all := storedBefore(t)
 	kinds := map[string]int{}
-	book := jobs.NewBook(0)
+	book := jobs.NewTable(0)
 	for key, raw := range all {
 		if id, ok := strings.CutPrefix(key, jobs.Prefix); ok {
 			if _, _, err := book.Apply(id, raw, 1); err != nil {
