--- a/cmd/harewalk/session_world_test.go
+++ b/cmd/harewalk/session_world_test.go
@@ -31,8 +31,8 @@
 }
 `
 
-func notebook(w *world.World, n int, cpus float64) *world.Notebook {
-	return w.Notebook(&jobs.Spec{ID: fmt.Sprintf("req-%06d", n), Class: "notebook", Team: "red", Kind: jobs.Service, Priority: "standard",
+func notebook(w *world.World, n int, cpus float64) *world.InteractiveSession {
+	return w.InteractiveSession(&jobs.Spec{ID: fmt.Sprintf("req-%06d", n), Class: "notebook", Team: "red", Kind: jobs.Service, Priority: "standard",
 		Tasks: 1, CPUs: cpus, Mem: 1, Image: "nb", ImageGB: 0.5, Spot: n%2 == 0, SaveS: 1, CheckpointS: 1}, "kana")
 }
 
@@ -62,11 +62,11 @@
 	}
 }
 
-func in(n *world.Notebook, states ...string) func() bool {
+func in(n *world.InteractiveSession, states ...string) func() bool {
 	return func() bool { return slices.Contains(states, n.Show().State) }
 }
 
-func usable(n *world.Notebook) func() bool {
+func usable(n *world.InteractiveSession) func() bool {
 	return func() bool { _, ok := n.Work(); return ok }
 }
 
@@ -137,7 +137,7 @@
 	w := sessionWorld(t, 12, 8)
 	cluster(t, w, sessionPolicy)
 	var wait sync.WaitGroup
-	script := func(n int, name string, f func(t *testing.T, n *world.Notebook)) {
+	script := func(n int, name string, f func(t *testing.T, n *world.InteractiveSession)) {
 		nb := notebook(w, n, 1)
 		if status := nb.Open(); status != 201 {
 			t.Fatalf("%s: status %d", name, status)
@@ -151,7 +151,7 @@
 			})
 		}()
 	}
-	script(1, "a long cell runs", func(t *testing.T, n *world.Notebook) {
+	script(1, "a long cell runs", func(t *testing.T, n *world.InteractiveSession) {
 		if !n.Cell(8 * time.Second) {
 			t.Fatal("no cell")
 		}
@@ -162,7 +162,7 @@
 		}
 		until(t, "reclaimed after the cell", in(n, "reclaimed"))
 	})
-	script(2, "the user returns before the save", func(t *testing.T, n *world.Notebook) {
+	script(2, "the user returns before the save", func(t *testing.T, n *world.InteractiveSession) {
 		until(t, "warned", in(n, "warned"))
 		if status, v := n.Attach(); status != 200 || v.State != "active" {
 			t.Fatalf("status %d, %+v", status, v)
@@ -172,7 +172,7 @@
 			t.Fatalf("%d steps", work)
 		}
 	})
-	script(3, "the user returns after the save was ordered", func(t *testing.T, n *world.Notebook) {
+	script(3, "the user returns after the save was ordered", func(t *testing.T, n *world.InteractiveSession) {
 		n.Saves(false, 1500*time.Millisecond)
 		until(t, "saving", in(n, "saving"))
 		if status, _ := n.Attach(); status != 200 {
@@ -183,7 +183,7 @@
 			t.Fatalf("%d steps", work)
 		}
 	})
-	script(4, "the save fails", func(t *testing.T, n *world.Notebook) {
+	script(4, "the save fails", func(t *testing.T, n *world.InteractiveSession) {
 		n.Saves(true, 0)
 		until(t, "saving", in(n, "saving"))
 		until(t, "quiet again", in(n, "quiet", "active"))
@@ -193,7 +193,7 @@
 		n.Saves(false, 0)
 		until(t, "reclaimed once saves work", in(n, "reclaimed"))
 	})
-	script(5, "the save takes too long", func(t *testing.T, n *world.Notebook) {
+	script(5, "the save takes too long", func(t *testing.T, n *world.InteractiveSession) {
 		n.Saves(false, 30*time.Second)
 		until(t, "saving", in(n, "saving"))
 		until(t, "given up", in(n, "quiet", "active"))
@@ -202,7 +202,7 @@
 			t.Fatal("reclaimed without its save")
 		}
 	})
-	script(6, "two attaches at once, and a flood of keep-alives", func(t *testing.T, n *world.Notebook) {
+	script(6, "two attaches at once, and a flood of keep-alives", func(t *testing.T, n *world.InteractiveSession) {
 		var ids [2]uint64
 		var both sync.WaitGroup
 		for i := range ids {
@@ -231,7 +231,7 @@
 			t.Fatalf("a flood was taken: %v", statuses)
 		}
 	})
-	script(8, "spot notice while warned", func(t *testing.T, n *world.Notebook) {
+	script(8, "spot notice while warned", func(t *testing.T, n *world.InteractiveSession) {
 		until(t, "warned", in(n, "warned"))
 		n.NoticeMachine(4 * time.Second) // or it was stopped already
 		until(t, "elsewhere", func() bool {
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -115,11 +115,11 @@
 		w.Network(max(mean, 100*time.Microsecond), n.Lost, n.Late, time.Duration(n.LateS*float64(time.Second)))
 	}
 	r := &run{seed: seed}
-	crowd := &crowd{w: w, rng: rand.New(rand.NewPCG(seed, 17)), run: r}
-	crowd.balance()
+	load := &generator{w: w, rng: rand.New(rand.NewPCG(seed, 17)), run: r}
+	load.balance()
 	w.Play(script, func(world.Fault) {})
 	for _, a := range all {
-		u := &user{crowd: crowd, arrival: a}
+		u := &user{generator: load, arrival: a}
 		r.users = append(r.users, u)
 		w.After(a.at, u.arrive)
 	}
@@ -129,7 +129,7 @@
 		r.pictures = append(r.pictures, w.Look())
 		progress(float64(i) / samples * 0.9)
 	}
-	for late := time.Duration(0); late < time.Duration(s.DrainS*float64(time.Second)) && crowd.open > 0; late += 10 * time.Second {
+	for late := time.Duration(0); late < time.Duration(s.DrainS*float64(time.Second)) && load.open > 0; late += 10 * time.Second {
 		w.Advance(10 * time.Second)
 	}
 	r.leads = w.Led()
@@ -143,8 +143,8 @@
 	return r, nil
 }
 
-// crowd are the users of a run, behind a load balancer. They watch that no answer contradicts another.
-type crowd struct {
+// generator are the users of a run, behind a load balancer. They watch that no answer contradicts another.
+type generator struct {
 	w     *world.World
 	rng   *rand.Rand
 	run   *run
@@ -158,7 +158,7 @@
 	healthFails = 2
 )
 
-func (c *crowd) balance() {
+func (c *generator) balance() {
 	c.fails = make([]int, c.w.Controllers())
 	for i := range c.fails {
 		var check func()
@@ -175,7 +175,7 @@
 }
 
 // some is a controller for the next request.
-func (c *crowd) some() int {
+func (c *generator) some() int {
 	var in []int
 	for i, n := range c.fails {
 		if n < healthFails {
@@ -191,8 +191,8 @@
 // user submits one job and follows it to its end.
 type user struct {
 	arrival
-	crowd *crowd
-	body  []byte
+	generator *generator
+	body      []byte
 
 	accepted   time.Duration // after its arrival; 0: not yet
 	started    time.Duration
@@ -204,7 +204,7 @@
 }
 
 // ask sends a request through the load balancer, and notes whether it was served.
-func (c *crowd) ask(method, path string, body []byte, then func(status int, stance string)) {
+func (c *generator) ask(method, path string, body []byte, then func(status int, stance string)) {
 	at := c.w.Now()
 	c.w.Ask(c.some(), method, path, body, func(status int, raw []byte) {
 		c.run.answers = append(c.run.answers, answered{at, status > 0 && status < 429})
@@ -217,34 +217,34 @@
 }
 
 // later calls f after about a time.
-func (c *crowd) later(d time.Duration, f func()) {
+func (c *generator) later(d time.Duration, f func()) {
 	c.w.After(time.Duration((0.75+0.5*c.rng.Float64())*float64(d)), f)
 }
 
-func (u *user) since() time.Duration { return u.crowd.w.Now() - u.at }
+func (u *user) since() time.Duration { return u.generator.w.Now() - u.at }
 
 func (u *user) arrive() {
 	u.body, _ = json.Marshal(u.spec)
-	u.crowd.w.Know(u.spec)
-	u.crowd.open++
+	u.generator.w.Know(u.spec)
+	u.generator.open++
 	u.submit()
 	if u.cancel > 0 {
-		u.crowd.w.After(u.cancel, u.abort)
+		u.generator.w.After(u.cancel, u.abort)
 	}
 }
 
 func (u *user) submit() {
-	u.crowd.ask("POST", "/v2/runs", u.body, func(status int, _ string) {
+	u.generator.ask("POST", "/v2/runs", u.body, func(status int, _ string) {
 		switch status {
 		case 200, 201:
 			u.accepted, u.body = max(1, u.since()), nil
 			u.heard = world.History{ID: u.spec.ID, Tasks: u.spec.Tasks}
-			u.crowd.later(2*time.Second, u.poll)
+			u.generator.later(2*time.Second, u.poll)
 		case 400, 422:
 			u.refused = true
-			u.crowd.open--
+			u.generator.open--
 		default:
-			u.crowd.later(time.Second, u.submit)
+			u.generator.later(time.Second, u.submit)
 		}
 	})
 }
@@ -254,29 +254,29 @@
 		return
 	}
 	u.asked = true
-	u.crowd.ask("POST", "/v2/runs/"+u.spec.ID+"/abort", []byte("{}"), func(status int, stance string) {
+	u.generator.ask("POST", "/v2/runs/"+u.spec.ID+"/abort", []byte("{}"), func(status int, stance string) {
 		switch {
 		case status != 200:
-			u.crowd.later(time.Second, u.abort)
+			u.generator.later(time.Second, u.abort)
 		case stance == "cancelled":
-			u.crowd.w.Cancelled(u.spec.ID)
+			u.generator.w.Cancelled(u.spec.ID)
 		}
 	})
 }
 
 // poll asks for the job until it is over, and twice more after that.
 func (u *user) poll() {
-	u.crowd.ask("GET", "/v2/runs/"+u.spec.ID, nil, func(status int, stance string) {
-		u.crowd.w.Heard(&u.heard, status, stance, u.asked)
+	u.generator.ask("GET", "/v2/runs/"+u.spec.ID, nil, func(status int, stance string) {
+		u.generator.w.Heard(&u.heard, status, stance, u.asked)
 		if status == 404 {
 			return
 		}
 		if u.heard.Times == 1 && u.over == 0 {
 			u.over = u.since()
-			u.crowd.open--
+			u.generator.open--
 		}
 		if u.heard.Times < 3 {
-			u.crowd.later(max(2*time.Second, min(u.since()/10, 30*time.Second)), u.poll)
+			u.generator.later(max(2*time.Second, min(u.since()/10, 30*time.Second)), u.poll)
 		}
 	})
 }
--- a/internal/world/notebook.go
+++ b/internal/world/interactive.go
@@ -11,9 +11,9 @@
 	"github.com/harewalk/harewalk/internal/sessions"
 )
 
-// Notebook is an interactive session as its user and its agent see it: the stand-in for both.
+// InteractiveSession is an interactive session as its user and its agent see it: the stand-in for both.
 // Work is counted in steps; what was saved outlives the machine.
-type Notebook struct {
+type InteractiveSession struct {
 	Spec  *jobs.Spec
 	User  string
 	token string // the user's
@@ -42,18 +42,18 @@
 	Resumes   int
 }
 
-// Notebook makes a session for a user, as yet unopened.
-func (w *World) Notebook(spec *jobs.Spec, user string) *Notebook {
-	n := &Notebook{Spec: spec, User: user, w: w, token: "user-" + spec.ID, agent: "agent-" + spec.ID, saves: map[string]int{}}
+// InteractiveSession makes a session for a user, as yet unopened.
+func (w *World) InteractiveSession(spec *jobs.Spec, user string) *InteractiveSession {
+	n := &InteractiveSession{Spec: spec, User: user, w: w, token: "user-" + spec.ID, agent: "agent-" + spec.ID, saves: map[string]int{}}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.specs[spec.ID] = spec
-	w.notebooks[spec.ID] = n
+	w.interactive[spec.ID] = n
 	return n
 }
 
 // begins is when a session's task runs: a new process, frozen until it was told what to resume.
-func (n *Notebook) begins(now time.Duration, k *task) {
+func (n *InteractiveSession) begins(now time.Duration, k *task) {
 	n.attempt, n.work, n.saved, n.frozen, n.save, n.cellTill, n.input, n.resumed, n.fresh = k.attempt, 0, 0, true, nil, 0, now, "", true
 	n.own, n.kept = "", ""
 	n.w.done.Add(1)
@@ -62,7 +62,7 @@
 
 // halted is when its worker stops it, outside a close: that must be a reclaim, and a reclaim must
 // not end what runs or lose what was done.
-func (n *Notebook) halted(now time.Duration, m *Machine) {
+func (n *InteractiveSession) halted(now time.Duration, m *Machine) {
 	if n.closed {
 		return
 	}
@@ -84,7 +84,7 @@
 }
 
 // talk is the agent: it reports until its process is gone.
-func (n *Notebook) talk(k *task) {
+func (n *InteractiveSession) talk(k *task) {
 	w := n.w
 	defer w.done.Done()
 	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}
@@ -142,7 +142,7 @@
 	return false
 }
 
-func (n *Notebook) report(now time.Duration, seq uint64) sessions.Report {
+func (n *InteractiveSession) report(now time.Duration, seq uint64) sessions.Report {
 	if n.save != nil && n.saveTill > 0 && now >= n.saveTill {
 		n.saveTill = 0
 		ref := fmt.Sprintf("%s-%d-%d", n.Spec.ID, n.attempt, n.save.Order)
@@ -168,7 +168,7 @@
 }
 
 // told takes the answer to a report.
-func (n *Notebook) told(now time.Duration, k *task, r sessions.Report, o sessions.Order) {
+func (n *InteractiveSession) told(now time.Duration, k *task, r sessions.Report, o sessions.Order) {
 	if k.attempt != n.attempt {
 		return
 	}
@@ -191,7 +191,7 @@
 }
 
 // Use is a user's input, one step of work; false if the process is gone or frozen.
-func (n *Notebook) Use() bool {
+func (n *InteractiveSession) Use() bool {
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	if n.frozen || !n.running() {
@@ -202,7 +202,7 @@
 	return true
 }
 
-func (n *Notebook) running() bool {
+func (n *InteractiveSession) running() bool {
 	for _, m := range n.w.machines {
 		for _, k := range m.tasks {
 			if !m.dead && k.spec == n.Spec && k.attempt == n.attempt && k.state == running {
@@ -214,7 +214,7 @@
 }
 
 // Cell runs a cell for a time.
-func (n *Notebook) Cell(d time.Duration) bool {
+func (n *InteractiveSession) Cell(d time.Duration) bool {
 	if !n.Use() {
 		return false
 	}
@@ -225,28 +225,28 @@
 }
 
 // Saves lets saves fail, or take a time.
-func (n *Notebook) Saves(failing bool, slow time.Duration) {
+func (n *InteractiveSession) Saves(failing bool, slow time.Duration) {
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	n.failing, n.slow = failing, slow
 }
 
 // Work is how many steps are done and not lost, and whether the process takes input.
-func (n *Notebook) Work() (steps int, usable bool) {
+func (n *InteractiveSession) Work() (steps int, usable bool) {
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	return n.work, n.running() && !n.frozen
 }
 
 // Counts tells how often it was reclaimed and resumed.
-func (n *Notebook) Counts() (reclaims, resumes int) {
+func (n *InteractiveSession) Counts() (reclaims, resumes int) {
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	return n.Reclaims, n.Resumes
 }
 
 // NoticeMachine announces that the cloud takes the machine back on which the session runs.
-func (n *Notebook) NoticeMachine(d time.Duration) bool {
+func (n *InteractiveSession) NoticeMachine(d time.Duration) bool {
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	for _, m := range n.w.machines {
@@ -261,7 +261,7 @@
 }
 
 // Open opens the session; it returns the status.
-func (n *Notebook) Open() int {
+func (n *InteractiveSession) Open() int {
 	body := struct {
 		*jobs.Spec
 		User  string `json:"user"`
@@ -274,18 +274,18 @@
 }
 
 // Attach is the user's return.
-func (n *Notebook) Attach() (int, sessions.View) {
+func (n *InteractiveSession) Attach() (int, sessions.View) {
 	return n.ask("/"+n.Spec.ID+"/attach", n.token, []byte("{}"))
 }
 
 // Keep is a client's sign of life.
-func (n *Notebook) Keep(attachment uint64) int {
+func (n *InteractiveSession) Keep(attachment uint64) int {
 	status, _ := n.once(n.w.Public(0), "/"+n.Spec.ID+"/keep", n.token, []byte(fmt.Sprintf(`{"attachment":%d}`, attachment)))
 	return status
 }
 
 // Close ends the session for good.
-func (n *Notebook) Close() int {
+func (n *InteractiveSession) Close() int {
 	n.w.mu.Lock()
 	n.closed = true
 	n.w.mu.Unlock()
@@ -297,13 +297,13 @@
 }
 
 // Show is the session as any user sees it.
-func (n *Notebook) Show() sessions.View {
+func (n *InteractiveSession) Show() sessions.View {
 	_, v := n.ask("/"+n.Spec.ID, "", nil)
 	return v
 }
 
 // ask asks until it is answered by a leader, for up to a minute.
-func (n *Notebook) ask(path, token string, body []byte) (int, sessions.View) {
+func (n *InteractiveSession) ask(path, token string, body []byte) (int, sessions.View) {
 	to := n.w.Public(0)
 	for i, end := 0, time.Now().Add(time.Minute); time.Now().Before(end); i++ {
 		status, raw := n.once(to, path, token, body)
@@ -327,7 +327,7 @@
 	return 0, sessions.View{}
 }
 
-func (n *Notebook) once(to, path, token string, body []byte) (int, []byte) {
+func (n *InteractiveSession) once(to, path, token string, body []byte) (int, []byte) {
 	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}
 	defer client.CloseIdleConnections()
 	return send(client, to, "/v2/sessions"+path, token, body)
--- a/internal/world/machine.go
+++ b/internal/world/machine.go
@@ -212,7 +212,7 @@
 
 func (w *World) runs(now time.Duration, k *task) {
 	k.state, k.since = running, now
-	if n := w.notebooks[k.spec.ID]; n != nil {
+	if n := w.interactive[k.spec.ID]; n != nil {
 		n.begins(now, k)
 	}
 	factor := 0.8 + 0.4*w.rng.Float64()
@@ -387,7 +387,7 @@
 			}
 		case "halt":
 			if i >= 0 && m.tasks[i].state != exited {
-				if n := w.notebooks[m.tasks[i].spec.ID]; n != nil && m.tasks[i].state == running {
+				if n := w.interactive[m.tasks[i].spec.ID]; n != nil && m.tasks[i].state == running {
 					n.halted(now, m)
 				}
 				w.halt(now, m.tasks[i], c)
--- a/internal/world/troubles_test.go
+++ b/internal/world/troubles_test.go
@@ -18,7 +18,7 @@
 func standing(t *testing.T, seed uint64, controllers int) (*rolling, *Balancer) {
 	r := wide(t, seed, controllers)
 	b := r.Balance()
-	r.crowd(24, 20)
+	r.submitMany(24, 20)
 	r.load(60 * time.Second)
 	r.reach("working", 60*time.Second, func() bool { return r.Look().Running > 60 })
 	r.Advance(3 * time.Second)
@@ -319,7 +319,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := wide(t, 86, 3)
 			r.Boots(c.factor, c.never)
-			r.crowd(16, 15)
+			r.submitMany(16, 15)
 			most := 0
 			for range 90 {
 				r.Advance(time.Second)
@@ -476,7 +476,7 @@
 func TestGuests(t *testing.T) {
 	types := []capacity.MachineType{{Name: "g4", CPUs: 16, GPUs: 4, Mem: 128, CacheGB: 100, FetchGB: 10, Price: 4, Spot: 1.5, BootS: 12, Zones: []string{"a", "b", "c"}}}
 	r := newRollingOn(t, 92, 3, rollout.Newest, "", 24, types, []config.Team{{Name: "red", CPUs: 80}, {Name: "blue", CPUs: 80}, {Name: "guest"}})
-	r.crowd(10, 15)
+	r.submitMany(10, 15)
 	r.Advance(30 * time.Second)
 	give := func(u *simUser) *simUser {
 		r.users = append(r.users, u)
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -126,7 +126,7 @@
 	told  map[string]time.Duration // cancelled
 	tasks map[string]*progress     // by task name
 
-	notebooks map[string]*Notebook
+	interactive map[string]*InteractiveSession
 
 	// Licences is the licence server.
 	Licences *LicenceServer
@@ -186,7 +186,7 @@
 	w := &World{cfg: cfg, ground: on, stop: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, 7)),
 		svc: state.New(), cut: make([]bool, cfg.Controllers), stuck: make([]bool, cfg.Controllers),
 		byName: map[string]*Machine{}, claims: map[string][]string{}, specs: map[string]*jobs.Spec{},
-		mistaken: map[string]bool{}, told: map[string]time.Duration{}, tasks: map[string]*progress{}, notebooks: map[string]*Notebook{},
+		mistaken: map[string]bool{}, told: map[string]time.Duration{}, tasks: map[string]*progress{}, interactive: map[string]*InteractiveSession{},
 		known: map[string]time.Duration{}, waits: map[string]time.Duration{}}
 	w.delays.rng = rand.New(rand.NewPCG(cfg.Seed, 17))
 	w.answers = answers{jobs: map[string]*told{}, asked: map[string]bool{}, looks: looks{rng: rand.New(rand.NewPCG(cfg.Seed, 19))}}
--- a/internal/world/zones_test.go
+++ b/internal/world/zones_test.go
@@ -41,8 +41,8 @@
 	return newRollingOn(t, seed, controllers, rollout.Newest, "", 36, types, []config.Team{{Name: "red", CPUs: 80}, {Name: "blue", CPUs: 80}})
 }
 
-// crowd fills the cluster with work that goes on, so that machines stand in all zones.
-func (r *rolling) crowd(n int, seconds float64) {
+// submitMany fills the cluster with work that goes on, so that machines stand in all zones.
+func (r *rolling) submitMany(n int, seconds float64) {
 	for i := range n {
 		s := &jobs.Spec{ID: fmt.Sprintf("req-8%05d", i), Class: "long", Team: []string{"red", "blue"}[i%2], Kind: jobs.Array, Priority: "standard", Tasks: 4, CPUs: 4, Mem: 1,
 			Image: "i", ImageGB: 1, EstimateS: seconds, Spot: true}
@@ -69,7 +69,7 @@
 	for _, how := range []Cut{Lost, Held, Refused, Deaf, Mute} {
 		t.Run(fmt.Sprint(how), func(t *testing.T) {
 			r := wide(t, 71, 5)
-			r.crowd(24, 20)
+			r.submitMany(24, 20)
 			r.load(40 * time.Second)
 			r.reach("working", 60*time.Second, func() bool { return r.Look().Running > 60 })
 			r.Advance(5 * time.Second)
@@ -100,7 +100,7 @@
 // zone is lost: the next leader knows since when, and how often.
 func TestLeaderLostWithItsZone(t *testing.T) {
 	r := wide(t, 72, 5)
-	r.crowd(24, 20)
+	r.submitMany(24, 20)
 	r.load(50 * time.Second)
 	r.reach("working", 60*time.Second, func() bool { return r.Look().Running > 60 })
 	old, _ := r.World.Leader()
@@ -131,7 +131,7 @@
 // machines are not rented there in between.
 func TestZoneFlaps(t *testing.T) {
 	r := wide(t, 73, 5)
-	r.crowd(24, 30)
+	r.submitMany(24, 30)
 	r.load(60 * time.Second)
 	r.reach("working", 60*time.Second, func() bool { return r.Look().Running > 60 })
 	zone := r.elsewhere()
@@ -159,7 +159,7 @@
 // dead and the rest heard: in the end all jobs are over and no rule is broken.
 func TestZonesOverlap(t *testing.T) {
 	r := wide(t, 74, 5)
-	r.crowd(24, 15)
+	r.submitMany(24, 15)
 	r.load(60 * time.Second)
 	r.reach("working", 60*time.Second, func() bool { return r.Look().Running > 60 })
 	r.CutZone("a", Held)
@@ -185,7 +185,7 @@
 // service that must stay apart keeps its bound, and what can't be placed waits.
 func TestServicesAreSpread(t *testing.T) {
 	r := wide(t, 75, 3)
-	r.crowd(24, 60) // machines in all zones
+	r.submitMany(24, 60) // machines in all zones
 	r.reach("working", 60*time.Second, func() bool { return r.Look().Running > 60 })
 	s := &jobs.Spec{ID: "req-000777", Class: "svc", Team: "blue", Kind: jobs.Service, Priority: "urgent", Tasks: 6, CPUs: 1, Mem: 1, Image: "i", ImageGB: 1, Spread: true}
 	u := &simUser{w: r.World, rng: r.rng, spec: s}
@@ -235,7 +235,7 @@
 // try to rent there again, though nobody is left to be heard.
 func TestEveryZoneEmptied(t *testing.T) {
 	r := wide(t, 76, 3)
-	r.crowd(24, 15)
+	r.submitMany(24, 15)
 	r.reach("working", 60*time.Second, func() bool { return r.Look().Running > 60 })
 	for _, z := range []string{"a", "b", "c"} {
 		r.CutZone(z, Lost)
