Store: limits of the state service that shrink are learnt, by every writer

Change: the client learns what a transaction may hold and how fast writes are taken; announced limits (state.next) are kept to from the start. Pages, plans, image hints, submissions, questions and the archive write within that. Chunks that don't fit leave planned tasks out; writes without an outcome that don't fit make the leader resign.

--- a/internal/config/archive.go
+++ b/internal/config/archive.go
@@ -44,7 +44,8 @@
 	if a.CacheEntries == 0 {
 		a.CacheEntries = max(leastCacheItems, int(s.Params.Limits.Memory()*cacheEntriesMB))
 	}
-	a.Problem = archive.Fits(s.Params.State.TxnOps, int(s.Params.State.ValueKB*bytesPerKilo))
+	limits := s.Params.State.Limits()
+	a.Problem = archive.Fits(limits.Ops, limits.Value)
 	return a
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,6 +18,7 @@
 	"github.com/harewalk/harewalk/internal/licences"
 	"github.com/harewalk/harewalk/internal/rollout"
 	"github.com/harewalk/harewalk/internal/sessions"
+	"github.com/harewalk/harewalk/internal/store"
 )
 
 // Peer is another controller.
@@ -61,6 +62,30 @@
 	WriteRPS float64 `json:"write_rps" validate:"gt=0"`
 	ValueKB  float64 `json:"value_kb" validate:"gt=0"`
 	TxnOps   int     `json:"txn_ops" validate:"gt=0"`
+	// Next holds the limits that the service will have from some moment on, without notice; nil: none are announced.
+	Next *NextState `json:"next" validate:"omitnil"`
+}
+
+// NextState holds announced limits of the state service; 0 where nothing is said.
+type NextState struct {
+	WriteRPS float64 `json:"write_rps" validate:"gte=0"`
+	ValueKB  float64 `json:"value_kb" validate:"gte=0"`
+	TxnOps   int     `json:"txn_ops" validate:"gte=0"`
+}
+
+// Limits are those that every transaction keeps to: the smaller of the present and of the announced ones, from the start,
+// so that nothing that is stored has to shrink when the moment comes.
+func (s State) Limits() store.Limits {
+	l := store.Limits{Ops: s.TxnOps, Value: int(s.ValueKB * bytesPerKilo)}
+	if n := s.Next; n != nil {
+		if n.TxnOps > 0 {
+			l.Ops = min(l.Ops, n.TxnOps)
+		}
+		if n.ValueKB > 0 {
+			l.Value = min(l.Value, int(n.ValueKB*bytesPerKilo))
+		}
+	}
+	return l
 }
 
 // Cloud holds the limits of the cloud interface.
--- a/internal/controller/archive.go
+++ b/internal/controller/archive.go
@@ -31,7 +31,7 @@
 		Commit:   func(t store.Txn, done func(store.Result)) { c.commit(t, store.Bulk, done) },
 		Now:      c.loop.Now,
 		Moved:    c.archived.Learn,
-		TxnOps:   c.s.Params.State.TxnOps, WritesPerS: c.s.Params.State.WriteRPS,
+		TxnOps:   c.s.Params.State.Limits().Ops, WritesPerS: c.s.Params.State.WriteRPS,
 	})
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -146,7 +146,7 @@
 	}
 	c.send = o.Sender(s.Params.Limits.Outgoing(serviceSlots))
 	c.wire = o.Sender(s.Params.Limits.Outgoing(workerSlots))
-	c.store = store.New(s.Services.State, c.send, c.loop.Now, c.share(false), s.Params.State.TxnOps)
+	c.store = store.New(s.Services.State, c.send, c.loop.Now, c.share(false), s.Params.State.Limits())
 	c.seats = o.Sender(s.Params.Limits.Outgoing(licenceSlots))
 	c.jobs = jobs.NewTable(o.EpochMS)
 	c.pools = licences.NewCatalog(s.Pools())
@@ -174,8 +174,8 @@
 	c.archive = s.Archive()
 	c.archived = c.newReader(c.archive.CacheEntries)
 	c.in = intake.New(intake.Env{Store: c.store, Jobs: c.jobs, Archive: c.archived, Admit: c.admit, Ready: c.mir.Synced,
-		Counts: c.counts, Learned: c.learned, Guard: c.roll.Guard, Fit: c.roll.Fit, TxnOps: s.Params.State.TxnOps, MaxTasks: s.Params.Limits.Tasks(),
-		MaxBytes: s.Params.Limits.QueueBytes(), MaxValue: int(s.Params.State.ValueKB * 1024)})
+		Counts: c.counts, Learned: c.learned, Guard: c.roll.Guard, Fit: c.roll.Fit, TxnOps: s.Params.State.TxnOps, Limits: c.store.Limits, MaxTasks: s.Params.Limits.Tasks(),
+		MaxBytes: s.Params.Limits.QueueBytes(), MaxValue: s.Params.State.Limits().Value})
 	return c
 }
 
@@ -279,6 +279,10 @@
 		c.load(now)
 		return
 	}
+	if c.fleet.Stuck() {
+		c.mem.Resign(now, "writes without an outcome don't fit the state service's limits any more")
+		return
+	}
 	if now >= c.summary {
 		c.summary = now + 30*time.Second
 		c.fleet.Summary(now)
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -20,7 +20,7 @@
 	c.store.SetShare(c.share(true))
 	c.jobs.Recall()
 	c.fleet = fleet.New(fleet.Env{
-		Settings: c.s, Jobs: c.jobs, Rng: c.rng, TxnOps: c.s.Params.State.TxnOps - 1, MaxOrders: c.s.Params.Limits.Outgoing(workerSlots), Now: c.loop.Now, Learned: c.learned,
+		Settings: c.s, Jobs: c.jobs, Rng: c.rng, TxnOps: c.s.Params.State.TxnOps - 1, Limits: c.store.Limits, MaxOrders: c.s.Params.Limits.Outgoing(workerSlots), Now: c.loop.Now, Learned: c.learned,
 		Types:      func(ix int32) *fleet.Type { return c.byType[ix] },
 		Paged:      func() bool { return c.roll.Level() >= rollout.Paged },
 		Unreadable: c.roll.Unreadable,
--- a/internal/fleet/batch.go
+++ b/internal/fleet/batch.go
@@ -44,7 +44,7 @@
 		k, _ := w.batch.Size()
 		n += k
 	}
-	return n <= w.f.TxnOps && w.f.Room(n)
+	return n <= w.f.ops() && w.f.Room(n)
 }
 
 func (w *write) size() int {
@@ -69,7 +69,10 @@
 // chunk adds a chunk's value, where it is to stand now.
 func (w *write) chunk(j *jobs.Job, c *jobs.Chunk) bool {
 	f := w.f
-	raw, snap := j.EncodeChunk(c, f.Term, func(m int32) string { return f.machines[m].Name })
+	raw, snap, ok := j.EncodeWithin(c, f.Term, func(m int32) string { return f.machines[m].Name }, f.valueLimit()-len(j.PlanKey(c.No)))
+	if !ok {
+		return true // more of it runs, on more machines, than a value can name: it is written once some of that has ended
+	}
 	p := pending{job: j, chunk: c, snapshot: snap, key: j.PlanKey(c.No), raw: raw}
 	if w.batch == nil || c.Early {
 		return w.key(p)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,8 +54,10 @@
 	Learned func(now time.Duration, it store.Item)
 	// Now is the steady clock, for answers that come later than the call that asked.
 	Now func() time.Duration
-	// TxnOps bounds the operations of one transaction.
+	// TxnOps bounds the operations of one transaction. Limits is what one may hold now, which may be less, for the state
+	// service's limits may shrink; nil: it is what TxnOps and the settings say.
 	TxnOps int
+	Limits func() store.Limits
 	// MaxOrders bounds the direct commands under way; 0: no bound.
 	MaxOrders int
 	// Paged tells whether plans are written into pages that many jobs share: from level 2 of the stored state on.
@@ -125,6 +127,7 @@
 	held     bool // nothing new is started: the lead is being handed over
 	ordering int  // direct commands under way
 	writing  bool
+	stuck    bool // writes without an outcome can't be settled in this term
 	retry    func(time.Duration)
 	retryAt  time.Duration
 	over     []*jobs.Job // ended, with tasks that may still be on machines or plans that stand
@@ -148,12 +151,32 @@
 	if f.Paged == nil {
 		f.Paged = func() bool { return true }
 	}
-	f.pages = pages.New(min(pageBytes, int(env.Settings.Params.State.ValueKB*1024)*7/8))
+	f.pages = pages.New(f.pageLimit())
 	d := env.Jobs.Names
 	f.Gate = admission.New(quota.New(env.Settings.Params.Teams, d.Teams.Index), licences.New(d.Pools, d.Teams.Index, now))
 	return f
 }
 
+// ops is how many changes a transaction may hold now.
+func (f *Fleet) ops() int {
+	if f.Limits == nil {
+		return f.TxnOps
+	}
+	return min(f.TxnOps, f.Limits().Ops)
+}
+
+// valueLimit is how large a value of many parts may be made now, in bytes: a little less than what is taken.
+func (f *Fleet) valueLimit() int {
+	limit := f.Settings.Params.State.Limits().Value
+	if f.Limits != nil {
+		limit = min(limit, f.Limits().Value)
+	}
+	return limit * 7 / 8
+}
+
+// pageLimit is how much is put in one page now.
+func (f *Fleet) pageLimit() int { return min(pageBytes, f.valueLimit()) }
+
 // Hold starts nothing new from now on; what runs goes on, and what is due is written.
 func (f *Fleet) Hold() { f.held = true }
 
--- a/internal/fleet/images.go
+++ b/internal/fleet/images.go
@@ -51,7 +51,7 @@
 
 // encodeImages writes a shard of the hints, as far as they fit a value.
 func (f *Fleet) encodeImages(shard int) json.RawMessage {
-	limit := int(f.Settings.Params.State.ValueKB*1024) * 7 / 8
+	limit := f.valueLimit()
 	h := imageHints{Machines: map[string][]int32{}}
 	at := map[int32]int32{}
 	size := 100
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -26,7 +26,11 @@
 	}
 	w := &write{f: f, bytes: firstly}
 	if f.Paged() {
-		w.batch = f.pages.Begin()
+		f.pages.SetLimit(f.pageLimit())
+		w.batch = f.pages.Begin(f.ops())
+		if f.stuck = !w.batch.Fits(f.ops()); f.stuck {
+			return
+		}
 	}
 	f.collect(now, w)
 	shard := f.nextShard(now)
@@ -77,6 +81,10 @@
 	f.Commit(t, func(r store.Result) { f.committed(ops, r) })
 }
 
+// Stuck tells that writes without an outcome can't be settled in this term: the pages that they name take more than the
+// state service, whose limits have shrunk, lets one transaction hold. The next leader's writes don't have to wait for them.
+func (f *Fleet) Stuck() bool { return f.stuck }
+
 // collect offers what is due, most urgent first.
 func (f *Fleet) collect(now time.Duration, w *write) {
 	for _, j := range f.order {
@@ -230,8 +238,8 @@
 		j.Tasks, j.Chunks = nil, nil
 		return true
 	})
-	n := min(len(f.garbage), f.TxnOps, sweepAtOnce)
-	nos, versions := f.pages.Retire(min(f.TxnOps, sweepAtOnce) - n)
+	n := min(len(f.garbage), f.ops(), sweepAtOnce)
+	nos, versions := f.pages.Retire(min(f.ops(), sweepAtOnce) - n)
 	if n+len(nos) == 0 || !f.Room((n+len(nos))*2) {
 		return
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -76,8 +76,9 @@
 	// controller knows it to be. Fit tells whether this release may act at that level; nil: there are no levels.
 	Guard func() store.Cond
 	Fit   func() bool
-	// TxnOps bounds a transaction.
+	// TxnOps bounds a transaction. Limits is what one may hold now, which may be less; nil: it is TxnOps and MaxValue.
 	TxnOps int
+	Limits func() store.Limits
 	// MaxTasks bounds the unfinished tasks of all jobs, which a leader keeps in memory;
 	// MaxBytes the submissions that wait to be stored; MaxValue what can be stored of one.
 	MaxTasks, MaxBytes, MaxValue int
@@ -96,6 +97,16 @@
 	promised   time.Duration // when the last refused submission was told to come back
 }
 
+// limits is what a transaction may hold now.
+func (n *Intake) limits() store.Limits {
+	l := store.Limits{Ops: n.TxnOps, Value: n.MaxValue}
+	if n.Limits != nil {
+		now := n.Limits()
+		l = store.Limits{Ops: min(l.Ops, now.Ops), Value: min(l.Value, now.Value)}
+	}
+	return l
+}
+
 // Drain refuses submissions from now on; what was taken is answered.
 func (n *Intake) Drain() { n.draining = true }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -61,7 +61,7 @@
 
 func newDesk(svc *state.Service) *desk {
 	d := &desk{svc: svc}
-	st := store.New("", d, func() time.Duration { return svc.Now }, store.Share{RPS: 1e6, WriteRPS: 1e6, BurstS: 0.8}, 24)
+	st := store.New("", d, func() time.Duration { return svc.Now }, store.Share{RPS: 1e6, WriteRPS: 1e6, BurstS: 0.8}, store.Limits{Ops: 24, Value: 32 << 10})
 	book := jobs.NewTable(0)
 	d.Intake = New(Env{Store: st, Jobs: book, Archive: archive.NewReader(st, 8), Ready: func() bool { return true }, TxnOps: 24, MaxTasks: 3000, MaxBytes: 1 << 20, MaxValue: 8 << 10,
 		Admit: func(s *jobs.Spec) Verdict {
--- a/internal/intake/question.go
+++ b/internal/intake/question.go
@@ -13,7 +13,6 @@
 // on its record and one on its archived answer.
 const (
 	condsPerCheck = 2
-	condsPerOp    = 4 // conditions that the state service takes for each change that it takes
 	mostChecked   = 300
 )
 
@@ -76,8 +75,8 @@
 	var batch []check
 	seen := map[string]bool{}
 	t := store.Txn{}
-	k := 0
-	for ; k < len(n.checks) && len(t.If)+condsPerCheck <= condsPerOp*n.TxnOps && len(seen) < mostChecked; k++ {
+	k, most := 0, store.CondsPerOp*n.limits().Ops
+	for ; k < len(n.checks) && len(t.If)+condsPerCheck <= most && len(seen) < mostChecked; k++ {
 		c := n.checks[k]
 		c.version = 0
 		if j := n.Jobs.Get(c.id); j != nil {
--- a/internal/intake/submit.go
+++ b/internal/intake/submit.go
@@ -66,6 +66,10 @@
 		reply(refuse(422, "the job's description is larger than what can be stored of a job"))
 		return
 	}
+	if len(raw) > n.limits().Value {
+		reply(refuse(503, "the state service takes no value as large as the job's description now"))
+		return
+	}
 	// Every job is taken for itself; together they must fit the leader's memory.
 	if live := n.Jobs.LiveTasks(); live > 0 && live+s.Tasks > n.MaxTasks {
 		reply(refuse(429, "too many unfinished tasks"))
@@ -92,7 +96,7 @@
 	}
 	size, k := 200, 0
 	seen := map[string]bool{}
-	for k < len(n.submits) && k < n.TxnOps {
+	for k < len(n.submits) && k < n.limits().Ops {
 		s := n.submits[k]
 		if size += len(s.raw) + submitOverhead; size > 60<<10 || seen[s.spec.ID] {
 			break
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -206,6 +206,13 @@
 	if st != Done {
 		r.AtMS, r.Spec = at, spec
 	}
+	if st == Cancelled && spec != nil {
+		// What its tasks take counts until they are gone; where they might run doesn't matter any more. Without the list
+		// of types, the one part without a bound, the record fits whatever values the state service takes.
+		kept := *spec
+		kept.Types = nil
+		r.Spec = &kept
+	}
 	b, _ := json.Marshal(r)
 	return b
 }
--- a/internal/jobs/task.go
+++ b/internal/jobs/task.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -276,6 +277,46 @@
 	return raw, snapshot
 }
 
+// EncodeWithin writes a chunk within a limit, in bytes. Where not all fits, planned tasks are left out, the last ones
+// first: they stand on no machine as far as this value says, so they don't start until a later write names them, as
+// others have ended. It is false if what has been launched alone takes more.
+func (j *Job) EncodeWithin(c *Chunk, term uint64, name func(int32) string, limit int) (json.RawMessage, []int32, bool) {
+	raw, snapshot := j.EncodeChunk(c, term, name)
+	if len(raw) <= limit {
+		return raw, snapshot, true
+	}
+	var planned []int32
+	lo := int32(c.No * ChunkTasks)
+	for i := range c.Durable {
+		if t := lo + int32(i); j.Tasks[t].State == Planned {
+			planned = append(planned, t)
+		}
+	}
+	// As many planned tasks as fit: fewer never take more than one run and one machine each, so the size grows with them.
+	fits := sort.Search(len(planned)+1, func(left int) bool {
+		raw, snapshot = j.encodeWithout(c, term, name, planned[len(planned)-left:])
+		return len(raw) <= limit
+	})
+	if fits > len(planned) {
+		return nil, nil, false
+	}
+	raw, snapshot = j.encodeWithout(c, term, name, planned[len(planned)-fits:])
+	return raw, snapshot, true
+}
+
+// encodeWithout writes a chunk as if some tasks had no machine.
+func (j *Job) encodeWithout(c *Chunk, term uint64, name func(int32) string, without []int32) (json.RawMessage, []int32) {
+	at := make([]int32, len(without))
+	for i, t := range without {
+		at[i], j.Tasks[t].Machine = j.Tasks[t].Machine, None
+	}
+	raw, snapshot := j.EncodeChunk(c, term, name)
+	for i, t := range without {
+		j.Tasks[t].Machine = at[i]
+	}
+	return raw, snapshot
+}
+
 // DecodeChunk reads a chunk back: machine and finished flag of each task.
 func DecodeChunk(raw json.RawMessage, n int, index func(string) int32) (on []int32, done []bool, err error) {
 	var v planValue
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -85,7 +85,7 @@
 	n.gen++
 	c := n.c
 	now := func() time.Duration { return c.svc.Now }
-	st := store.New("", n, now, store.Share{RPS: 1e6, WriteRPS: 1e6, BurstS: 0.8}, 24)
+	st := store.New("", n, now, store.Share{RPS: 1e6, WriteRPS: 1e6, BurstS: 0.8}, store.Limits{Ops: 24, Value: 32 << 10})
 	n.seen = c.svc.Now
 	n.known = map[string]uint64{}
 	n.mem = New(Config{Node: n.name, TTL: 3 * time.Second, Picture: 9 * time.Second, Rng: c.rng, Rollout: oneRelease{n.name},
--- a/internal/pages/pages.go
+++ b/internal/pages/pages.go
@@ -68,6 +68,10 @@
 	return &Pages{limit: max(1, limit-overhead), at: map[Ref]*page{}}
 }
 
+// SetLimit changes how much the values of a page may take from the next batch on. Pages that hold more are kept as they
+// are until what lives on them has moved.
+func (p *Pages) SetLimit(limit int) { p.limit = max(1, limit-overhead) }
+
 // Stored is a page as it was read.
 type Stored struct {
 	No      int
@@ -155,19 +159,55 @@
 	size int // with what stays
 }
 
-// Begin starts a batch. Pages in doubt are part of it.
-func (p *Pages) Begin() *Batch {
+// Begin starts a batch. Pages in doubt are all part of it: each of the writes that may still land names one of them. What
+// one of them holds beyond the limit moves to other pages with it, as far as a batch of at most pages pages has room.
+func (p *Pages) Begin(pages int) *Batch {
 	b := &Batch{p: p, moved: map[Ref]struct{}{}, inBatch: map[*page]struct{}{}}
-	if p.doubts > 0 {
-		for _, g := range p.pages {
-			if g.doubt {
-				b.open(g)
-			}
+	if p.doubts == 0 {
+		return b
+	}
+	for _, g := range p.pages {
+		if g.doubt {
+			b.open(g)
 		}
 	}
+	for _, n := range b.bins[:len(b.bins):len(b.bins)] {
+		b.shed(n, pages)
+	}
 	return b
 }
 
+// Fits tells whether the batch keeps to a number of pages and to the limit of each. One that begins with more can't be
+// written while its owner leads.
+func (b *Batch) Fits(pages int) bool {
+	return len(b.bins) <= pages && !slices.ContainsFunc(b.bins, func(n *bin) bool { return b.over(n) })
+}
+
+// over tells whether a page holds more than it may; a large value alone may stand anywhere.
+func (b *Batch) over(n *bin) bool { return n.size > b.p.limit && len(n.page.live)+len(n.add) > 1 }
+
+// mostShed bounds the bytes of a batch that moves what pages hold beyond their limit.
+const mostShed = 48 << 10
+
+// shed moves what a page holds beyond the limit to others.
+func (b *Batch) shed(n *bin, pages int) {
+	for _, e := range sorted(n.page.live) {
+		if !b.over(n) || !b.Add(e, pages, mostShed) {
+			return
+		}
+	}
+}
+
+// sorted lists a page's values by name.
+func sorted(live map[Ref]Entry) []Entry {
+	es := make([]Entry, 0, len(live))
+	for _, e := range live {
+		es = append(es, e)
+	}
+	slices.SortFunc(es, func(x, y Entry) int { return cmp.Compare(x.Name, y.Name) })
+	return es
+}
+
 func (b *Batch) open(g *page) *bin {
 	n := &bin{page: g, size: b.stays(g)}
 	b.bins = append(b.bins, n)
--- a/internal/pages/pages_test.go
+++ b/internal/pages/pages_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -75,7 +76,7 @@
 		var late [][]Put
 		n := 0
 		write := func(names []string, fate int) {
-			b := p.Begin()
+			b := p.Begin(100)
 			vals := map[string]string{}
 			for _, name := range names {
 				if ended[name] {
@@ -235,7 +236,7 @@
 func TestFewWrites(t *testing.T) {
 	p, rev, writes := New(6<<10), uint64(0), 0
 	for round := range 200 {
-		b := p.Begin()
+		b := p.Begin(100)
 		for i := range 20 {
 			r := Ref{A: int32((round*37 + i*11) % 1000)}
 			if !b.Add(Entry{r, fmt.Sprintf("req-%06d/000", r.A), []byte(`{"term":3,"done":"AA==","on":["i-000123"],"runs":[1,0]}`)}, 20, 60<<10) {
@@ -264,13 +265,13 @@
 	p := New(60)
 	var first Put
 	for i := range int32(8) {
-		b := p.Begin()
+		b := p.Begin(100)
 		b.Add(Entry{Ref{A: i}, fmt.Sprintf("v%d", i), []byte(`"a long value that fills a page"`)}, 1, 1000)
 		x := b.Puts()[0]
 		if i == 0 {
 			first = x
 			p.Doubt(x)
-			b = p.Begin()
+			b = p.Begin(100)
 			b.Add(Entry{Ref{A: i}, "v0", []byte(`"a long value that fills a page"`)}, 1, 1000)
 			x = b.Puts()[0]
 		}
@@ -284,3 +285,72 @@
 		t.Fatalf("pages %v are dropped, page %d may come anew", nos, first.No)
 	}
 }
+
+// The limit of a page shrinks while writes without an outcome name pages that hold more: the next batch names them all, and
+// what is beyond the limit moves to other pages with it. Where that doesn't fit, the batch says so.
+func TestLimitShrinksWhileInDoubt(t *testing.T) {
+	fill := func() (*Pages, []Put) {
+		p := New(2000)
+		b := p.Begin(8)
+		for i := range 30 {
+			e := Entry{Ref: Ref{A: int32(i)}, Name: fmt.Sprintf("job-%02d", i), Raw: []byte(`"` + strings.Repeat("x", 90) + `"`)}
+			if !b.Add(e, 8, 60<<10) {
+				t.Fatal("no room")
+			}
+		}
+		puts := b.Puts()
+		for i, x := range puts {
+			p.Commit(x, uint64(i+1))
+		}
+		return p, puts
+	}
+	p, _ := fill()
+	b := p.Begin(8)
+	_ = b.Add(Entry{Ref: Ref{A: 0}, Name: "job-00", Raw: []byte(`"y"`)}, 8, 60<<10)
+	for _, x := range b.Puts() {
+		p.Doubt(x)
+	}
+	p.SetLimit(700)
+	b = p.Begin(8)
+	if !b.Fits(8) {
+		t.Fatal("what fits in eight pages doesn't")
+	}
+	seen := map[string]bool{}
+	doubtful := 0
+	for _, x := range b.Puts() {
+		if len(x.Raw) > 700 {
+			t.Errorf("page %d takes %d bytes", x.No, len(x.Raw))
+		}
+		if x.page.doubt {
+			doubtful++
+		}
+		for _, e := range x.entries {
+			if seen[e.Name] {
+				t.Errorf("%s is on two pages of one batch", e.Name)
+			}
+			seen[e.Name] = true
+		}
+		p.Commit(x, 50)
+	}
+	if doubtful == 0 || p.Doubts() {
+		t.Errorf("%d pages of the batch were in doubt; in doubt still: %v", doubtful, p.Doubts())
+	}
+	for i := range 30 {
+		if p.at[Ref{A: int32(i)}] == nil {
+			t.Errorf("value %d is lost", i)
+		}
+	}
+	// As many pages in doubt as don't fit.
+	p, _ = fill()
+	b = p.Begin(8)
+	for i := range 30 {
+		b.Add(Entry{Ref: Ref{A: int32(i)}, Name: fmt.Sprintf("job-%02d", i), Raw: []byte(`"` + strings.Repeat("y", 90) + `"`)}, 8, 60<<10)
+	}
+	for _, x := range b.Puts() {
+		p.Doubt(x)
+	}
+	p.SetLimit(300)
+	if p.Begin(3).Fits(3) {
+		t.Error("a batch of more than three pages fits in three")
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -133,7 +133,9 @@
 	now       func() time.Duration
 	reqs      *Budget
 	writes    *Budget
-	ops       int
+	limits    learner
+	throttle  throttle
+	share     Share
 	lastOK    time.Duration
 	lastHeard time.Duration
 
@@ -147,21 +149,26 @@
 // many seconds' worth may be used at once.
 type Share struct{ RPS, WriteRPS, BurstS float64 }
 
-// New makes a client with a share of the service's limits.
-func New(addr string, send httpio.Sender, now func() time.Duration, s Share, txnOps int) *Client {
-	return &Client{addr: addr, send: send, now: now, ops: txnOps,
+// New makes a client with a share of the service's limits, whose transactions stay within limits.
+func New(addr string, send httpio.Sender, now func() time.Duration, s Share, limits Limits) *Client {
+	return &Client{addr: addr, send: send, now: now, limits: newLearner(limits), throttle: throttle{factor: 1}, share: s,
 		reqs: NewBudget(s.RPS, s.BurstS), writes: NewBudget(s.WriteRPS, s.BurstS)}
 }
 
 // SetShare changes the budget, for example on becoming leader.
 func (c *Client) SetShare(s Share) {
 	now := c.now()
+	c.share = s
 	c.reqs.SetRate(now, s.RPS, s.BurstS)
-	c.writes.SetRate(now, s.WriteRPS, s.BurstS)
+	c.pace(now)
 }
 
-// TxnOps is the most operations in one transaction.
-func (c *Client) TxnOps() int { return c.ops }
+// pace sets the rate of writes to what the service lets through.
+func (c *Client) pace(now time.Duration) {
+	if rate := c.share.WriteRPS * c.throttle.recover(now); rate != c.writes.rate {
+		c.writes.SetRate(now, rate, c.share.BurstS)
+	}
+}
 
 // LastHeard is when the service last answered anything, a refusal too.
 func (c *Client) LastHeard() time.Duration { return c.lastHeard }
@@ -187,6 +194,7 @@
 }
 
 func (c *Client) call(req httpio.Request, writes int, class Class, done func(httpio.Response)) {
+	c.pace(c.now())
 	if !c.Room(writes, class) {
 		done(httpio.Response{Status: 429})
 		return
@@ -202,6 +210,10 @@
 		if r.Err == nil && r.Status != 503 && r.Status != 429 {
 			c.lastOK = c.now()
 		}
+		if r.Err == nil && r.Status == 429 && writes > 0 {
+			c.throttle.refused(c.now())
+			c.pace(c.now())
+		}
 		done(r)
 	})
 }
@@ -217,7 +229,21 @@
 		return
 	}
 	c.call(httpio.Request{Method: "POST", Path: "/txn", Body: body, Timeout: 2 * time.Second}, len(t.Then), class,
-		func(r httpio.Response) { done(parseTxn(r)) })
+		func(r httpio.Response) {
+			res := parseTxn(r)
+			c.learn(shapeOf(t), r, res.Outcome)
+			done(res)
+		})
+}
+
+// learn takes over what an answer says of the service's limits.
+func (c *Client) learn(s Limits, r httpio.Response, o Outcome) {
+	switch {
+	case o == Committed || o == Conflict:
+		c.limits.took(c.now(), s)
+	case r.Err == nil && r.Status == 400 && o != NoHold:
+		c.limits.refused(c.now(), s)
+	}
 }
 
 func parseTxn(r httpio.Response) Result {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -91,7 +91,7 @@
 func TestOutcomes(t *testing.T) {
 	now := time.Duration(0)
 	l := &line{svc: state.New()}
-	c := store.New("", l, func() time.Duration { return now }, store.Share{RPS: 1000, WriteRPS: 1000, BurstS: 0.8}, 24)
+	c := store.New("", l, func() time.Duration { return now }, store.Share{RPS: 1000, WriteRPS: 1000, BurstS: 0.8}, store.Limits{Ops: 24, Value: 32 << 10})
 	var got store.Result
 	put := func(key string, version, hold uint64) store.Outcome {
 		c.Txn(store.Txn{If: []store.Cond{{Key: key, Version: version}}, Then: []store.Op{{Put: key, Value: json.RawMessage("1"), Hold: hold}}},
@@ -134,7 +134,7 @@
 func TestMirror(t *testing.T) {
 	now := time.Duration(0)
 	l := &line{svc: state.New()}
-	c := store.New("", l, func() time.Duration { return now }, store.Share{RPS: 1e6, WriteRPS: 1e6, BurstS: 0.8}, 24)
+	c := store.New("", l, func() time.Duration { return now }, store.Share{RPS: 1e6, WriteRPS: 1e6, BurstS: 0.8}, store.Limits{Ops: 24, Value: 32 << 10})
 	put := func(k, v string) {
 		l.svc.Serve(httpio.Request{Path: "/txn", Body: fmt.Appendf(nil, `{"if":[],"apply":[{"set":%q,"data":%q}]}`, k, v)})
 	}
@@ -194,7 +194,7 @@
 func TestOverdueWatch(t *testing.T) {
 	now := time.Duration(0)
 	l := &waiting{line: line{svc: state.New()}}
-	c := store.New("", l, func() time.Duration { return now }, store.Share{RPS: 1e6, WriteRPS: 1e6, BurstS: 0.8}, 24)
+	c := store.New("", l, func() time.Duration { return now }, store.Share{RPS: 1e6, WriteRPS: 1e6, BurstS: 0.8}, store.Limits{Ops: 24, Value: 32 << 10})
 	m := store.NewMirror(c, "h/", 18*time.Second)
 	there, told := map[string]bool{}, 0
 	m.OnItem = func(it store.Item) { there[it.Key], told = true, told+1 }
--- /dev/null
+++ b/internal/world/limits_test.go
@@ -0,0 +1,69 @@
+package world
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/harewalk/harewalk/internal/config"
+	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/rollout"
+)
+
+// The state service's limits shrink without notice, each alone and all together, announced by the settings or not, in calm,
+// with a takeover right after, in a takeover, before and after an outage, while writes get no answer: starts go on within
+// seconds, all jobs come to their end, and no rule is broken. Arrays of a hundred tasks spread over all machines make values
+// as large as they get.
+func TestLimitsShrink(t *testing.T) {
+	shrinks := map[string][3]float64{"value": {2, 0, 0}, "changes": {0, 8, 0}, "rate": {0, 0, 24}, "all": {2, 8, 24}, "tiny": {1.5, 5, 20}}
+	around := map[string]func(r *rolling){
+		"calm": func(*rolling) {},
+		"leader ends": func(r *rolling) {
+			r.After(5*time.Second, func() { toLeader(3*time.Second, (*World).KillController)(r.World) })
+		},
+		"in a takeover": func(r *rolling) {
+			l := r.led()
+			r.KillController(l)
+			r.After(2*time.Second, func() { r.StartController(l) })
+		},
+		"outage": func(r *rolling) { r.Outage(true); r.After(8*time.Second, func() { r.Outage(false) }) },
+		"answers lost": func(r *rolling) {
+			r.LoseAnswers(0.3)
+			r.After(6*time.Second, func() { r.LoseAnswers(0) })
+		},
+	}
+	for name, s := range shrinks {
+		for what, do := range around {
+			for _, announced := range []bool{false, true} {
+				t.Run(fmt.Sprint(name, " ", what, " ", announced), func(t *testing.T) {
+					t.Parallel()
+					r := newRollingWith(t, 421, rollout.Newest, func(set *config.Settings) {
+						if announced {
+							set.Params.State.Next = &config.NextState{ValueKB: s[0], TxnOps: int(s[1]), WriteRPS: s[2]}
+						}
+					})
+					r.Advance(10 * time.Second)
+					give := func(n int) {
+						spec := &jobs.Spec{ID: fmt.Sprintf("req-%06d", n), Class: "c", Team: []string{"red", "blue"}[n%2], Kind: jobs.Array, Priority: "standard",
+							Tasks: 150, CPUs: 1, Mem: 1, Image: "i", ImageGB: 1, EstimateS: 3, Spot: true}
+						u := &simUser{w: r.World, rng: r.rng, spec: spec}
+						r.users = append(r.users, u)
+						u.submit()
+					}
+					for n := range 60 { // twelve at a time, so that plans of many jobs are written together
+						r.After(time.Duration(n/12)*9*time.Second, func() { give(n + 1) })
+					}
+					r.Advance(20 * time.Second)
+					at := r.Now()
+					r.Shrink(s[0], int(s[1]), s[2])
+					do(r)
+					r.Advance(30 * time.Second)
+					if gap := r.Gap(at+14*time.Second, at+30*time.Second); gap > 6*time.Second {
+						t.Errorf("nothing started for %v after the limits fell", gap)
+					}
+					r.over()
+				})
+			}
+		}
+	}
+}
--- a/internal/world/rollout_test.go
+++ b/internal/world/rollout_test.go
@@ -53,6 +53,26 @@
 	return r
 }
 
+// newRollingWith starts a cluster of three controllers whose settings are changed first.
+func newRollingWith(t *testing.T, seed uint64, knows rollout.Level, change func(*config.Settings)) *rolling {
+	t.Helper()
+	w, err := Simulated(Config{Seed: seed, Machines: 30, Controllers: 3, Zones: []string{"a", "b", "c"}, Step: 50 * time.Millisecond,
+		State: config.State{RPS: 400, WriteRPS: 60, ValueKB: 8, TxnOps: 24}, Teams: []config.Team{{Name: "red"}, {Name: "blue"}}},
+		func(s *config.Settings) error {
+			if knows < rollout.Newest {
+				s.Earlier(knows, Former)
+			}
+			change(s)
+			return s.ReadOperator("o.hcl", []byte("archive {\n retain_s = 5\n}\n"))
+		})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rolling{World: w, t: t, rng: rand.New(rand.NewPCG(seed, 41))}
+	r.watch()
+	return r
+}
+
 // load lets jobs arrive for a time, about two a second.
 func (r *rolling) load(d time.Duration) {
 	r.until = r.Now() + d
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -30,6 +30,17 @@
 	w.cut[controller] = on
 }
 
+// Shrink lets the state service take less from now on, without notice: 0 leaves a limit as it is. What is stored stays
+// readable.
+func (w *World) Shrink(valueKB float64, txnOps int, writeRPS float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := &w.cfg.State
+	s.ValueKB, s.TxnOps = or(valueKB, s.ValueKB), or(txnOps, s.TxnOps)
+	s.WriteRPS = or(writeRPS, s.WriteRPS)
+	w.writes.rate = s.WriteRPS
+}
+
 // Keys counts the keys with a prefix.
 func (w *World) Keys(prefix string) (n int) {
 	w.mu.Lock()
