World: small limits and lost positions meet every other trouble

Cause: limits that fall and positions that are lost were tried in tests of their own only. Change: two words for scripts; the search over pairs takes them up.

--- a/internal/world/script.go
+++ b/internal/world/script.go
@@ -63,6 +63,8 @@
 	"lost-answers": {"t", func(d time.Duration, _ int, _ string) func(*World) {
 		return during(d, func(w *World, on bool) { w.LoseAnswers(map[bool]float64{true: 0.3}[on]) })
 	}},
+	"small-limits":   {"t", func(d time.Duration, _ int, _ string) func(*World) { return during(d, (*World).SmallLimits) }},
+	"lose-positions": {"t", func(time.Duration, int, string) func(*World) { return (*World).LosePositions }},
 	"keep-copies": {"t", func(d time.Duration, _ int, _ string) func(*World) {
 		return during(d, func(w *World, on bool) { w.KeepCopies(map[bool]float64{true: 0.3}[on]) })
 	}},
--- a/internal/world/services.go
+++ b/internal/world/services.go
@@ -41,6 +41,22 @@
 	w.writes.rate = s.WriteRPS
 }
 
+// Of the state service's limits, those under SmallLimits.
+const (
+	smallValueKB = 2
+	smallTxnOps  = 8
+	smallRate    = 0.4 // of the usual rate of writes
+)
+
+// SmallLimits lets the state service take much less, or as much as at the start again.
+func (w *World) SmallLimits(on bool) {
+	if on {
+		w.Shrink(smallValueKB, smallTxnOps, smallRate*w.usual.WriteRPS)
+		return
+	}
+	w.Shrink(w.usual.ValueKB, w.usual.TxnOps, w.usual.WriteRPS)
+}
+
 // Keys counts the keys with a prefix.
 func (w *World) Keys(prefix string) (n int) {
 	w.mu.Lock()
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -102,6 +102,7 @@
 	changed []func() // who waits for the next change of a key
 	reqs    bucket
 	writes  bucket
+	usual   config.State // its limits at the start
 	down    bool
 	fate    func(controller int, t store.Txn) Fate
 	cut     []bool // by controller: the state service refuses it
@@ -190,6 +191,7 @@
 		known: map[string]time.Duration{}, waits: map[string]time.Duration{}}
 	w.delays.rng = rand.New(rand.NewPCG(cfg.Seed, 17))
 	w.answers = answers{jobs: map[string]*told{}, asked: map[string]bool{}, looks: looks{rng: rand.New(rand.NewPCG(cfg.Seed, 19))}}
+	w.usual = cfg.State
 	w.reqs, w.writes = bucket{rate: cfg.State.RPS}, bucket{rate: cfg.State.WriteRPS}
 	for k, raw := range cfg.Stored {
 		w.svc.Apply([]store.Op{{Put: k, Value: raw}})
