--- a/cmd/harewalk/lab_scale_test.go
+++ b/cmd/harewalk/lab_scale_test.go
@@ -36,16 +36,23 @@
 }
 `
 
-// children lists the processes that this one has started and that still run.
-func children(t *testing.T) (pids []string) {
+// childrenOf lists the processes that a process has started and that still run.
+func childrenOf(t *testing.T, pid int) (pids []string) {
 	t.Helper()
-	tasks, err := filepath.Glob("/proc/self/task/*/children")
-	if err != nil || len(tasks) == 0 {
-		t.Skip("the system doesn't list a process's children")
+	stats, err := filepath.Glob("/proc/[0-9]*/stat")
+	if err != nil || len(stats) == 0 {
+		t.Fatalf("no processes are listed: %v", err)
 	}
-	for _, f := range tasks {
-		raw, _ := os.ReadFile(f)
-		pids = append(pids, strings.Fields(string(raw))...)
+	for _, f := range stats {
+		raw, err := os.ReadFile(f)
+		if err != nil {
+			continue // it has ended
+		}
+		// The name stands in brackets and may hold anything; state and parent follow.
+		fields := strings.Fields(string(raw[bytes.LastIndexByte(raw, ')')+1:]))
+		if len(fields) > 1 && fields[0] != "Z" && fields[1] == strconv.Itoa(pid) {
+			pids = append(pids, filepath.Base(filepath.Dir(f)))
+		}
 	}
 	return pids
 }
@@ -57,7 +64,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	before := len(children(t))
+	before := len(childrenOf(t, os.Getpid()))
 	r, err := scale.Run(context.Background(), p, scale.Options{Program: []string{os.Args[0]}, Env: []string{asProgram + "=1"}, Progress: func(line string) { t.Log(line) }})
 	if err != nil {
 		t.Fatal(err)
@@ -74,7 +81,7 @@
 	if s.Values["machines"] != 20 || r.PeakProcesses != 5 {
 		t.Errorf("%v machines, %d processes", s.Values["machines"], r.PeakProcesses)
 	}
-	if after := len(children(t)); after != before {
+	if after := len(childrenOf(t, os.Getpid())); after != before {
 		t.Errorf("%d processes are left of the run", after-before)
 	}
 }
@@ -92,16 +99,8 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	of := func() (pids []string) {
-		tasks, _ := filepath.Glob("/proc/" + strconv.Itoa(cmd.Process.Pid) + "/task/*/children")
-		for _, f := range tasks {
-			raw, _ := os.ReadFile(f)
-			pids = append(pids, strings.Fields(string(raw))...)
-		}
-		return pids
-	}
-	until(t, "its processes run", func() bool { return len(of()) >= 4 })
-	started := of()
+	until(t, "its processes run", func() bool { return len(childrenOf(t, cmd.Process.Pid)) >= 4 })
+	started := childrenOf(t, cmd.Process.Pid)
 	_ = cmd.Process.Signal(os.Interrupt)
 	if err := cmd.Wait(); err == nil {
 		t.Error("an interrupted run ended well")
--- a/internal/intake/abort.go
+++ b/internal/intake/abort.go
@@ -17,19 +17,7 @@
 
 // AbortBy cancels a job for a user, who must be one of its team; nil is anybody.
 func (n *Intake) AbortBy(now time.Duration, w *access.Who, id string, reply func(Reply)) {
-	if !jobs.ValidID(id) {
-		reply(refuse(404, "no such job"))
-		return
-	}
-	if !n.fit(reply) {
-		return
-	}
-	if !n.Ready() {
-		reply(refuse(503, "still reading the jobs"))
-		return
-	}
-	if r, ok := n.final(id, false); ok {
-		reply(r)
+	if n.settled(id, false, reply) {
 		return
 	}
 	if n.stateLost(now) {
--- a/internal/intake/question.go
+++ b/internal/intake/question.go
@@ -26,19 +26,7 @@
 // Query answers what has become of a job. What can still change is checked against the
 // state service, many jobs in one transaction without changes.
 func (n *Intake) Query(now time.Duration, id string, reply func(Reply)) {
-	if !jobs.ValidID(id) {
-		reply(refuse(404, "no such job"))
-		return
-	}
-	if !n.fit(reply) {
-		return
-	}
-	if !n.Ready() {
-		reply(refuse(503, "still reading the jobs"))
-		return
-	}
-	if r, ok := n.final(id, true); ok {
-		reply(r)
+	if n.settled(id, true, reply) {
 		return
 	}
 	n.queueCheck(now, check{id: id, reply: reply})
--- a/internal/intake/resolve.go
+++ b/internal/intake/resolve.go
@@ -30,6 +30,27 @@
 	return showArchived(id, a, full), ok
 }
 
+// settled answers what needs no read: an id that is none, a controller that can't answer, a job that has ended. It is
+// false if it has answered nothing.
+func (n *Intake) settled(id string, full bool, reply func(Reply)) bool {
+	if !jobs.ValidID(id) {
+		reply(noSuchJob)
+		return true
+	}
+	if !n.fit(reply) {
+		return true
+	}
+	if !n.Ready() {
+		reply(refuse(503, "still reading the jobs"))
+		return true
+	}
+	r, ok := n.final(id, full)
+	if ok {
+		reply(r)
+	}
+	return ok
+}
+
 // showArchived tells an archived job's answer.
 func showArchived(id string, a archive.Answer, full bool) Reply {
 	v := view{ID: id, Stance: a.Stance.String()}
