Tests: a roll from an earlier revision asks for the level that was found, not the first

Cause: deploy/roll-revision.sh against production failed on one assertion: it asked for level 1 before the rise, which is what revisions had that knew of no levels; production founds its clusters at 2. Change: the level that stands before the roll is asked for, and that it is below the newest: as strict, for any revision.

--- a/cmd/harewalk/rollout_world_test.go
+++ b/cmd/harewalk/rollout_world_test.go
@@ -187,8 +187,9 @@
 		}
 	}
 	time.Sleep(3 * time.Second)
+	founded := w.Level() // the highest that the earlier revision knows
 	wave(now, false)
-	if w.Level() != rollout.Base {
+	if w.Level() != founded || founded >= rollout.Newest {
 		t.Error("the level rose before the soak time was over")
 	}
 	wave(back, true)
