Intake, archive: one way to read an archived answer, moves within learnt limits

Cause: on re-reading. A cancellation read the archive by a copy of the question's code; a submission repeated what final does; final made an answer for live jobs that nobody used, on each question; moves knew the settings' limits only and were refused again each time a batch had grown; lab scale checked sizes twice and waited in a loop. No assertion of a test was touched.

--- a/cmd/harewalk/lab_scale.go
+++ b/cmd/harewalk/lab_scale.go
@@ -66,16 +66,12 @@
 			if quick {
 				p.Quick()
 			}
-			memory, err := scale.TotalMemory()
-			if err != nil {
-				return coded{exitFailed, err}
-			}
-			if err := p.Fits(memory); err != nil {
-				return coded{exitUsage, err}
-			}
 			ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
 			r, err := runScale(ctx, p, c.ErrOrStderr())
+			if errors.Is(err, scale.ErrTooLarge) {
+				return coded{exitUsage, err}
+			}
 			if err != nil {
 				return coded{exitFailed, err}
 			}
--- a/internal/controller/archive.go
+++ b/internal/controller/archive.go
@@ -27,7 +27,7 @@
 // newMover makes what moves ended jobs into the archive, for a term.
 func (c *Controller) newMover() *archive.Mover {
 	return archive.NewMover(archive.Env{
-		MayWrite: c.store.SpareFor,
+		MayWrite: func(n int) bool { return n <= c.store.Limits().Ops && c.store.SpareFor(n) },
 		Commit:   func(t store.Txn, done func(store.Result)) { c.commit(t, store.Bulk, done) },
 		Now:      c.loop.Now,
 		Moved:    c.archived.Learn,
--- a/internal/intake/abort.go
+++ b/internal/intake/abort.go
@@ -1,11 +1,9 @@
 package intake
 
 import (
-	"errors"
 	"time"
 
 	"github.com/harewalk/harewalk/internal/access"
-	"github.com/harewalk/harewalk/internal/archive"
 	"github.com/harewalk/harewalk/internal/jobs"
 	"github.com/harewalk/harewalk/internal/store"
 )
@@ -21,7 +19,7 @@
 		return
 	}
 	if n.stateLost(now) {
-		reply(refuse(503, "the state service does not answer"))
+		reply(noStateReply)
 		return
 	}
 	n.abort(w, id, reply, 4)
@@ -41,9 +39,9 @@
 		n.Store.Get(jobs.RecordKey(id), store.Ordinary, func(it store.Item, err error) {
 			switch {
 			case err != nil || tries == 0:
-				reply(refuse(503, "the state service does not answer"))
+				reply(noStateReply)
 			case it.Version == 0:
-				n.abortArchived(w, id, reply, tries)
+				n.archived(id, reply, false, noSuchJob, func(*jobs.Job) { n.abort(w, id, reply, tries-1) })
 			default:
 				n.Learned(n.Store.Now(), it)
 				if n.Jobs.Unread(id) {
@@ -81,21 +79,3 @@
 			}
 		})
 }
-
-// abortArchived answers a cancellation after the job's record was seen to be absent.
-func (n *Intake) abortArchived(w *access.Who, id string, reply func(Reply), tries int) {
-	n.Archive.Find(id, store.Ordinary, func(a archive.Answer, found bool, err error) {
-		switch j := n.Jobs.Get(id); {
-		case errors.Is(err, archive.ErrUnreadable):
-			reply(unreadable)
-		case err != nil:
-			reply(noStateReply)
-		case found:
-			reply(showArchived(id, a, false))
-		case j != nil:
-			n.abort(w, id, reply, tries-1) // accepted since its record was read
-		default:
-			reply(noSuchJob)
-		}
-	})
-}
--- a/internal/intake/question.go
+++ b/internal/intake/question.go
@@ -34,7 +34,7 @@
 
 func (n *Intake) queueCheck(now time.Duration, c check) {
 	if n.stateLost(now) {
-		c.reply(refuse(503, "the state service does not answer"))
+		c.reply(noStateReply)
 		return
 	}
 	if len(n.checks) >= maxChecks {
@@ -97,7 +97,7 @@
 	if r.Outcome != store.Committed && r.Outcome != store.Conflict {
 		slog.Debug("queries not checked", "n", len(batch), "outcome", r.Outcome.String())
 		for _, c := range batch {
-			c.reply(refuse(503, "the state service does not answer"))
+			c.reply(noStateReply)
 		}
 		return
 	}
@@ -119,7 +119,7 @@
 			c.reply(n.show(j, !c.submit))
 		case !failed[jobs.RecordKey(c.id)] && c.version == 0:
 			// Its answer was there, and its record wasn't: one read tells it.
-			n.archived(c.id, c.reply, !c.submit, n.absentFor(c))
+			n.archived(c.id, c.reply, !c.submit, n.absentFor(c), func(j *jobs.Job) { c.reply(n.show(j, !c.submit)) })
 		default:
 			n.again(c)
 		}
--- a/internal/intake/resolve.go
+++ b/internal/intake/resolve.go
@@ -24,7 +24,10 @@
 // final gives the answer about a job that is known to have ended; it never changes, so no read is needed.
 func (n *Intake) final(id string, full bool) (Reply, bool) {
 	if j := n.Jobs.Get(id); j != nil {
-		return n.show(j, full), j.Stance.Terminal()
+		if !j.Stance.Terminal() {
+			return Reply{}, false
+		}
+		return n.show(j, full), true
 	}
 	a, ok := n.Archive.Known(id)
 	return showArchived(id, a, full), ok
@@ -71,13 +74,14 @@
 
 // reread answers from a fresh read of a job's record, or of its archived answer, with absent if there is neither.
 func (n *Intake) reread(id string, reply func(Reply), full bool, absent Reply) {
+	accepted := func(j *jobs.Job) { reply(n.show(j, full)) }
 	n.Store.Get(jobs.RecordKey(id), classOf(full), func(it store.Item, err error) {
 		if err != nil {
 			reply(noStateReply)
 			return
 		}
 		if it.Version == 0 {
-			n.archived(id, reply, full, absent)
+			n.archived(id, reply, full, absent, accepted)
 			return
 		}
 		n.Learned(n.Store.Now(), it)
@@ -88,13 +92,14 @@
 			reply(n.show(j, full))
 		default:
 			// The followed keys have already seen this record go: it was moved after it was read.
-			n.archived(id, reply, full, notStored)
+			n.archived(id, reply, full, notStored, accepted)
 		}
 	})
 }
 
-// archived answers from a job's archived answer, after its record was seen to be absent.
-func (n *Intake) archived(id string, reply func(Reply), full bool, absent Reply) {
+// archived answers from a job's archived answer, after its record was seen to be absent; accepted goes on with a job that
+// was accepted since then.
+func (n *Intake) archived(id string, reply func(Reply), full bool, absent Reply, accepted func(*jobs.Job)) {
 	n.Archive.Find(id, classOf(full), func(a archive.Answer, found bool, err error) {
 		switch j := n.Jobs.Get(id); {
 		case errors.Is(err, archive.ErrUnreadable):
@@ -104,7 +109,7 @@
 		case found:
 			reply(showArchived(id, a, full))
 		case j != nil:
-			reply(n.show(j, full)) // accepted since its record was read
+			accepted(j)
 		default:
 			reply(absent)
 		}
--- a/internal/intake/submit.go
+++ b/internal/intake/submit.go
@@ -30,16 +30,12 @@
 		reply(refuse(503, "still reading the jobs"))
 		return
 	}
-	if j := n.Jobs.Get(s.ID); j != nil {
-		if j.Stance.Terminal() {
-			reply(n.show(j, false))
-			return
-		}
-		n.queueCheck(now, check{id: s.ID, reply: reply, submit: true})
+	if r, ok := n.final(s.ID, false); ok {
+		reply(r)
 		return
 	}
-	if a, ok := n.Archive.Known(s.ID); ok {
-		reply(showArchived(s.ID, a, false))
+	if n.Jobs.Get(s.ID) != nil {
+		n.queueCheck(now, check{id: s.ID, reply: reply, submit: true})
 		return
 	}
 	switch v := n.Admit(s); {
@@ -51,14 +47,14 @@
 		// from the controller that took it; or the job was accepted under other settings and is archived. Only a
 		// read tells a refusal from a repetition.
 		if n.stateLost(now) || !n.Store.Room(0, store.Ordinary) {
-			reply(refuse(503, "the state service does not answer"))
+			reply(noStateReply)
 			return
 		}
 		n.reread(s.ID, reply, false, refuse(422, v.Why))
 		return
 	}
 	if n.stateLost(now) {
-		reply(refuse(503, "the state service does not answer"))
+		reply(noStateReply)
 		return
 	}
 	raw := jobs.EncodeRecord(jobs.Pending, n.Jobs.WallMS(now), s.Tasks, s)
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -189,14 +189,10 @@
 	return got, nil
 }
 
-// settle waits until the machines are busy, and reports whether they are; it always lets the given time pass, so that
-// what the start costs isn't measured.
+// settle lets the given time pass, so that what the start costs isn't measured, and reports whether the machines are busy.
 func (c *cluster) settle(ctx context.Context, p *Plan, s Step) bool {
 	goal := int(busyPart * float64(s.Machines*s.TasksPerMachine))
-	end := time.Now().Add(time.Duration(p.SettleS * float64(time.Second)))
-	for ctx.Err() == nil && time.Now().Before(end) {
-		sleep(ctx, stepOfTime)
-	}
+	sleep(ctx, time.Duration(p.SettleS*float64(time.Second)))
 	return c.world.Look().Running >= goal
 }
 
--- a/internal/world/many_test.go
+++ b/internal/world/many_test.go
@@ -106,7 +106,7 @@
 	for i := range m.sim.nodes {
 		before := heapMB()
 		m.KillController(i)
-		m.sim.dropEnded()
+		m.Advance(eventsOfEnded)
 		h.heap[i] = before - heapMB()
 		m.Advance(8 * time.Second) // its hold runs out, another leads
 		asked := m.Stats().StateRequests
@@ -117,10 +117,8 @@
 	return h
 }
 
-// dropEnded forgets what was to happen in lives that have ended, so that they can be given back.
-func (s *Sim) dropEnded() {
-	s.w.Advance(2 * time.Minute)
-}
+// eventsOfEnded is how long events that were planned for an ended controller are kept; they hold it in memory.
+const eventsOfEnded = 2 * time.Minute
 
 // A great many jobs are accepted, run, end and are archived while controllers, the state service and positions fail
 // throughout: what controllers hold, follow and read at their start is the same after a tenth of them as after all, and
