Review: case 2, answers to workers exceed 64 KiB

Cause: nothing bounds the number of launches in one answer to a report. Change: a case under review/; the product is unchanged.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,7 @@
 // cases maps the number of a case to the function that plays it and reports whether the rule held.
 var cases = map[string]func(*scene) bool{
 	"1": playOneZoneGang,
+	"2": playLongLines,
 }
 
 // scene is what a case plays with.
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -176,6 +176,10 @@
 	m.expireLease()
 	body, session := m.encodeReport(), m.session
 	m.mu.Unlock()
+	if len(body) > maxLine {
+		m.platform.record.printf("%s can't report its tasks: the body would have %d bytes", m.name, len(body))
+		return other, retryDelay
+	}
 	answer, err := client.Post("http://"+m.platform.nodes[node].public+"/checkin", "application/json",
 		bytes.NewReader(body))
 	if err != nil {
@@ -259,9 +263,9 @@
 		writeJSON(w, http.StatusOK, m.encodeReport())
 		return
 	}
+	m.platform.checkLine(m, raw)
 	var direct orders
 	if len(raw) > maxLine || json.Unmarshal(raw, &direct) != nil || direct.Token == nil || direct.Session == nil {
-		m.platform.checkLine(m, raw)
 		writeJSON(w, http.StatusBadRequest, []byte("{}"))
 		return
 	}
