Review case 3: a small job beside a gang's reserved room never runs

Cause: a job that has waited for 40 s may use reserved room, but another team's small tasks then lack room and preempt it; the launch restarts the 40 s.

--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -40,7 +40,7 @@
 // bootShare is the boot time as a share of ready_s, the shortest that the pages call usual.
 const bootShare = 0.6
 
-// ServeHTTP implements http.Handler for the cloud. The cloud always has capacity.
+// ServeHTTP implements http.Handler for the cloud. The cloud has capacity unless it is exhausted.
 func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.URL.Path == "/machine_types":
@@ -111,6 +111,11 @@
 	p.mu.Lock()
 	names, isRepeated := p.claims[request.Claim]
 	p.mu.Unlock()
+	if !isRepeated && p.isExhausted {
+		p.record.printf("cloud: no capacity for %d %s in %s", request.Count, request.Type, request.Zone)
+		writeJSON(w, http.StatusServiceUnavailable, []byte(`{"error":"no capacity"}`))
+		return
+	}
 	if !isRepeated {
 		for range request.Count {
 			boot := seconds(p.typeNamed(request.Type).ReadyS * bootShare)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,7 @@
 var cases = map[string]func(*scene) bool{
 	"1": playOneZoneGang,
 	"2": playLongLines,
+	"3": playReservedRoom,
 }
 
 // scene is what a case plays with.
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -88,6 +88,8 @@
 	types    []machineType
 	nodes    []*node
 	record   *recorder
+	// isExhausted tells that the cloud has no machines left to rent out. It is set before the controllers start.
+	isExhausted bool
 
 	mu       sync.Mutex
 	machines []*machine
