--- a/internal/simulator/fault_kinds.go
+++ b/internal/simulator/fault_kinds.go
@@ -41,6 +41,8 @@
 	lateWriteShare  = 0.2         // share of transactions that are applied late
 	lostAnswerShare = 0.3         // share of transactions whose answer is lost
 	replayShare     = 0.3         // share of heartbeats that are replayed
+	repeatedShare   = 0.5         // share of direct requests that are repeated
+	maxRepeatLeases = 3           // longest delay of a repeated direct request, in worker leases
 	cancelShare     = 0.5         // share of completing jobs that are cancelled
 	minDuplicateAge = time.Second // shortest delay of a duplicate
 )
@@ -111,9 +113,13 @@
 	"keep-copies": {args: "t", apply: toggledFault(func(sim *Simulation, on bool) {
 		sim.ReplayHeartbeats(shareIf(on, replayShare))
 	})},
-	"slow-state":   {args: "t", apply: delayFault((*Simulation).DelayStateAnswers, 1./200, 1./5)},
-	"hold-orders":  {args: "t", apply: delayFault((*Simulation).DelayCommands, 1./50, 2./3)},
-	"hold-answers": {args: "t", apply: delayFault((*Simulation).DelayHeartbeatAnswers, 1./50, 2./3)},
+	"slow-state":  {args: "t", apply: delayFault((*Simulation).DelayStateAnswers, 1./200, 1./5)},
+	"hold-orders": {args: "t", apply: delayFault((*Simulation).DelayCommands, 1./50, 2./3)},
+	"repeat-orders": {args: "t", apply: toggledFault(func(sim *Simulation, on bool) {
+		sim.RepeatCommands(shareIf(on, repeatedShare), minRepeatDelay, sim.leaseFraction(maxRepeatLeases))
+	})},
+	"replay-orders": {args: "t", apply: toggledFault((*Simulation).RepeatCommandsAtWorstTime)},
+	"hold-answers":  {args: "t", apply: delayFault((*Simulation).DelayHeartbeatAnswers, 1./50, 2./3)},
 	"slow-links": {args: "t", virtualTimeOnly: true, apply: toggledFault(func(sim *Simulation, on bool) {
 		delay := time.Duration(0)
 		if on {
--- a/internal/simulator/machine.go
+++ b/internal/simulator/machine.go
@@ -37,6 +37,12 @@
 	outboundLostUntil    time.Duration // messages from the machine are lost, messages to it arrive
 	outboundRefusedUntil time.Duration // connections from the machine are refused; direct commands still work
 	faulty               bool          // every task that starts on the machine fails
+
+	// answeredCommands holds the requests that RepeatCommandsAtWorstTime may deliver again. repeatedIncarnation and
+	// repeatedElections are the incarnation and the number of elections at its last check.
+	answeredCommands    []*answeredCommands
+	repeatedIncarnation int
+	repeatedElections   int
 }
 
 // worker is the state of a machine's worker.
@@ -204,6 +210,7 @@
 		return
 	}
 	sim.expireWorkerLease(now, machine)
+	sim.repeatAtWorstTime(now, machine)
 	for _, task := range machine.tasks {
 		sim.checkCancelledTask(now, machine, task)
 		sim.advanceTask(now, machine, task)
--- a/internal/simulator/machine_faults.go
+++ b/internal/simulator/machine_faults.go
@@ -202,6 +202,13 @@
 	sim.cloud.machineByName[name].faulty = true
 }
 
+// SetMachineFaulty makes the tasks that start on a machine fail, or succeed again.
+func (sim *Simulation) SetMachineFaulty(name string, faulty bool) {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	sim.cloud.machineByName[name].faulty = faulty
+}
+
 // FailJob makes every task of a job fail, on any machine.
 func (sim *Simulation) FailJob(job string) {
 	sim.mu.Lock()
--- a/internal/simulator/measurements.go
+++ b/internal/simulator/measurements.go
@@ -30,6 +30,9 @@
 	// DuplicatesSent counts the duplicates of messages, HeartbeatsReplayed the copies of heartbeats that were kept for
 	// a new leader and delivered after its election.
 	DuplicatesSent, HeartbeatsReplayed int
+	// CommandsRepeated counts the direct requests that were delivered again after their answer, RepeatsExecuted those of
+	// them that the worker executed, and RepeatedLaunches the tasks that these launched.
+	CommandsRepeated, RepeatsExecuted, RepeatedLaunches int
 	// LateWrites counts the transactions that were applied late without an answer, LostAnswers the transactions that
 	// were applied immediately without an answer.
 	LateWrites, LostAnswers int
--- a/internal/simulator/message_faults.go
+++ b/internal/simulator/message_faults.go
@@ -15,6 +15,7 @@
 	failingJobs     map[string]bool // jobs whose tasks fail on any machine
 	duplication     duplication
 	delays          delays
+	repeated        repeatedCommands
 	heartbeatCopies []heartbeatCopy // copies to be delivered to the next leader
 }
 
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -77,6 +77,7 @@
 	virtualTimeStream  = 13
 	delayStream        = 17
 	userBehaviorStream = 19
+	repeatStream       = 23
 )
 
 // NewRealTime starts a simulation in real time on loopback sockets, without machines. The controllers are started
@@ -114,6 +115,7 @@
 		faults: messageFaults{
 			failingJobs: map[string]bool{},
 			delays:      delays{rng: rand.New(rand.NewPCG(cfg.Seed, delayStream))},
+			repeated:    repeatedCommands{rng: rand.New(rand.NewPCG(cfg.Seed, repeatStream))},
 		},
 	}
 	sim.Licences = newLicenceServer(sim, cfg.LicencePools, cfg.LicenceTimeout)
--- a/internal/simulator/task.go
+++ b/internal/simulator/task.go
@@ -1,9 +1,11 @@
 package simulator
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/harewalk/harewalk/internal/config"
 	"github.com/harewalk/harewalk/internal/jobs"
 	"github.com/harewalk/harewalk/internal/planner"
 )
@@ -164,7 +166,8 @@
 		sim.stats.TasksRerun++
 	}
 	sim.checkPredecessorsDone(machine, task)
-	sim.checkTeamLimit(task, sim.checkSingleInstance(machine, task))
+	sim.checkSingleInstance(machine, task)
+	sim.checkTeamLimit(task)
 }
 
 func (sim *Simulation) countStartAfterCancel(task *workerTask, after time.Duration) {
@@ -175,38 +178,53 @@
 	sim.stats.LatestStartAfterCancel = max(sim.stats.LatestStartAfterCancel, after)
 }
 
-// checkSingleInstance checks that no other attempt of the task runs, and returns the resources that its team uses.
-func (sim *Simulation) checkSingleInstance(machine *Machine, task *workerTask) (teamUse planner.Size) {
-	for _, onMachine := range sim.cloud.machines {
-		if onMachine.dead {
+// checkSingleInstance checks that no other attempt of the task runs.
+func (sim *Simulation) checkSingleInstance(machine *Machine, task *workerTask) {
+	sim.forEachActiveTask(func(onMachine *Machine, other *workerTask) {
+		if other.name == task.name && other != task {
+			sim.recordViolation("ran_twice: %s on %s and %s", task.name, onMachine.Name, machine.Name)
+		}
+	})
+}
+
+// forEachActiveTask calls visit for each started task that has not ended, with its machine.
+func (sim *Simulation) forEachActiveTask(visit func(*Machine, *workerTask)) {
+	for _, machine := range sim.cloud.machines {
+		if machine.dead {
 			continue
 		}
-		for _, other := range onMachine.tasks {
-			if !other.active {
-				continue
-			}
-			if other.name == task.name && other != task {
-				sim.recordViolation("ran_twice: %s on %s and %s", task.name, onMachine.Name, machine.Name)
-			}
-			if other.spec.Team == task.spec.Team {
-				teamUse = teamUse.Add(other.spec.Size())
+		for _, task := range machine.tasks {
+			if task.active {
+				visit(machine, task)
 			}
 		}
 	}
-	return teamUse
 }
 
-func (sim *Simulation) checkTeamLimit(task *workerTask, use planner.Size) {
-	for _, team := range sim.cfg.Teams {
-		if team.Name != task.spec.Team {
-			continue
+// teamUse returns the resources of a team's started tasks.
+func (sim *Simulation) teamUse(team string) (use planner.Size) {
+	sim.forEachActiveTask(func(_ *Machine, task *workerTask) {
+		if task.spec.Team == team {
+			use = use.Add(task.spec.Size())
 		}
+	})
+	return use
+}
+
+// checkTeamLimit checks that the team of a task that has just started is within its limit.
+func (sim *Simulation) checkTeamLimit(task *workerTask) {
+	if use := sim.teamUse(task.spec.Team); sim.isAboveTeamLimit(task.spec.Team, use) {
+		sim.recordViolation("quota: team %s exceeds its limit, using %v with %s", task.spec.Team, use, task.name)
+	}
+}
+
+// isAboveTeamLimit reports whether the given usage exceeds a team's limit.
+func (sim *Simulation) isAboveTeamLimit(name string, use planner.Size) bool {
+	return slices.ContainsFunc(sim.cfg.Teams, func(team config.Team) bool {
 		overCPUs := team.CPUsMax > 0 && use.CPUs > team.CPUsMax+teamLimitTolerance
 		overGPUs := team.GPUsMax > 0 && use.GPUs > team.GPUsMax+teamLimitTolerance
-		if overCPUs || overGPUs {
-			sim.recordViolation("quota: team %s exceeds its limit, using %v with %s", team.Name, use, task.name)
-		}
-	}
+		return team.Name == name && (overCPUs || overGPUs)
+	})
 }
 
 // checkCancelledTask checks that a task ends within the time limit after a user received the cancellation of its job
--- a/internal/simulator/worker.go
+++ b/internal/simulator/worker.go
@@ -22,7 +22,12 @@
 	maxRetryIntervalS = 1
 )
 
-const heartbeatPath = "/checkin"
+// Paths of requests to controllers and workers.
+const (
+	heartbeatPath      = "/checkin"
+	directCommandsPath = "/orders"
+	statusPath         = "/status"
+)
 
 // Names of commands on the wire.
 const (
@@ -109,6 +114,9 @@
 	}
 	status, body := sim.applyDirectCommands(now, machine, request)
 	answerLost := now < machine.outboundLostUntil
+	if status == http.StatusOK && request.path == directCommandsPath && !answerLost {
+		sim.keepAnsweredCommands(now, machine, request.body)
+	}
 	sim.mu.Unlock()
 	if !answerLost {
 		reply(status, body)
@@ -119,7 +127,7 @@
 // of a former owner, or for another session, are refused with status 409.
 func (sim *Simulation) applyDirectCommands(now time.Duration, machine *Machine, request httpRequest) (int, any) {
 	sim.expireWorkerLease(now, machine)
-	if request.path == "/status" {
+	if request.path == statusPath {
 		return http.StatusOK, sim.heartbeat(now, machine)
 	}
 	var direct directCommands
