--- a/internal/config/timing.go
+++ b/internal/config/timing.go
@@ -13,8 +13,8 @@
 //
 // staleness is the maximum age of a controller's copy of the jobs with which the controller answers heartbeats with 200:
 // the copy lacks later cancellations. lease is how long a worker's tasks run on after the last such response, including
-// the drift of the worker's clock. commands is how long a direct launch that was sent because of the stale copy may be
-// in flight before the machine's fencing token is raised against it. A worker that hangs, receives nothing or is cut off
+// the drift of the worker's clock. commands is the time for which a command that was sent because of the stale copy may
+// be in flight. A worker that hangs, receives nothing or is cut off
 // ends its tasks when its lease expires. Every 200 from a controller whose copy has the cancellation carries the stop
 // (package fleet). docs/design.md has the argument for each case.
 const (
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -164,12 +164,11 @@
 }
 
 // sendCommands sends commands directly to a machine. done receives the heartbeat in the response, nil if there is
-// none; ok is false if the outcome is indeterminate. done is called only if the term still lasts when the response
-// arrives.
+// none. It is called only if the term still lasts when the response arrives.
 func (c *Controller) sendCommands(
 	machine *fleet.Machine,
 	commands fleet.DirectCommands,
-	done func(heartbeat *fleet.Heartbeat, ok bool),
+	done func(heartbeat *fleet.Heartbeat),
 ) {
 	body, _ := json.Marshal(commands.Wire())
 	request := httpio.Request{
@@ -188,19 +187,17 @@
 	})
 }
 
-// parseCommandAnswer parses a worker's response to commands. It returns the heartbeat in the response, nil if there
-// is none. ok is false if it is uncertain whether the commands were executed.
-func parseCommandAnswer(response httpio.Response) (heartbeat *fleet.Heartbeat, ok bool) {
-	answered := response.Status == http.StatusOK || response.Status == http.StatusConflict
-	if response.Err != nil || !answered {
-		notExecuted := response.Refused || (response.Err == nil && response.Status == http.StatusBadRequest)
-		return nil, notExecuted
+// parseCommandAnswer returns the heartbeat in a worker's response to commands, or nil if there is none.
+func parseCommandAnswer(response httpio.Response) *fleet.Heartbeat {
+	isAnswered := response.Status == http.StatusOK || response.Status == http.StatusConflict
+	if response.Err != nil || !isAnswered {
+		return nil
 	}
 	heartbeat, err := fleet.ParseHeartbeat(response.Body)
 	if err != nil {
-		return nil, true
+		return nil
 	}
-	return heartbeat, true
+	return heartbeat
 }
 
 // loadStoredState reads the stored sessions and then the stored plans at the start of a term. Planning must not begin
--- a/internal/controller/term_test.go
+++ b/internal/controller/term_test.go
@@ -11,8 +11,7 @@
 	"github.com/harewalk/harewalk/internal/simulator/state"
 )
 
-// The outcome of commands is certain if the worker responded, or can't have received or executed the commands. The
-// heartbeat in the response is optional.
+// The response to commands contains a heartbeat if the worker accepted or refused the commands. The heartbeat is optional.
 func TestOutcomeOfDirectCommands(t *testing.T) {
 	const heartbeat = `{"den":"i-1","address":"x","build":"b","meadow":"a","run":1,"tally":1,"hops":[]}`
 	failure := errors.New("connection failed")
@@ -20,20 +19,19 @@
 		name         string
 		response     httpio.Response
 		hasHeartbeat bool
-		isCertain    bool
 	}{
-		{"accepted", httpio.Response{Status: http.StatusOK, Body: []byte(heartbeat)}, true, true},
-		{"conflict", httpio.Response{Status: http.StatusConflict, Body: []byte(heartbeat)}, true, true},
-		{"without a heartbeat", httpio.Response{Status: http.StatusOK, Body: []byte("{")}, false, true},
-		{"malformed", httpio.Response{Status: http.StatusBadRequest}, false, true},
-		{"server error", httpio.Response{Status: http.StatusInternalServerError}, false, false},
-		{"connection refused", httpio.Response{Err: failure, Refused: true}, false, true},
-		{"connection lost", httpio.Response{Err: failure}, false, false},
+		{"accepted", httpio.Response{Status: http.StatusOK, Body: []byte(heartbeat)}, true},
+		{"conflict", httpio.Response{Status: http.StatusConflict, Body: []byte(heartbeat)}, true},
+		{"without a heartbeat", httpio.Response{Status: http.StatusOK, Body: []byte("{")}, false},
+		{"malformed", httpio.Response{Status: http.StatusBadRequest}, false},
+		{"server error", httpio.Response{Status: http.StatusInternalServerError}, false},
+		{"connection refused", httpio.Response{Err: failure, Refused: true}, false},
+		{"connection lost", httpio.Response{Err: failure}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			received, isCertain := parseCommandAnswer(test.response)
-			if (received != nil) != test.hasHeartbeat || isCertain != test.isCertain {
-				t.Errorf("heartbeat %v, outcome certain %v; want those of the test case", received, isCertain)
+			received := parseCommandAnswer(test.response)
+			if (received != nil) != test.hasHeartbeat {
+				t.Errorf("got heartbeat %v, want one: %v", received, test.hasHeartbeat)
 			}
 		})
 	}
--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -173,8 +173,8 @@
 	}
 }
 
-// The number of direct requests in flight is bounded. A task whose launch can't be sent now stays planned, and its
-// launch is sent as soon as the bound allows.
+// The number of direct requests in flight is bounded. A task whose machine can't be prompted now stays planned, and is
+// launched as soon as the bound allows.
 func TestDirectRequestsAreBounded(t *testing.T) {
 	g := newRigOf(t, 1, map[string]json.RawMessage{}, []config.Team{{Name: "t"}})
 	g.MaxDirectRequests = 3
@@ -193,7 +193,7 @@
 				inFlight, len(g.sentDirect), launched)
 		}
 		for ; answered < len(g.directCallbacks); answered++ {
-			g.directCallbacks[answered](nil, true)
+			g.directCallbacks[answered](nil)
 		}
 	}
 	if launched := job.TasksByState[jobs.Launched]; launched != 40 {
--- a/internal/fleet/commands.go
+++ b/internal/fleet/commands.go
@@ -17,7 +17,7 @@
 	for i := range heartbeat.Tasks {
 		report := &heartbeat.Tasks[i]
 		if report.State == taskExited {
-			if f.mayForget(machine, report) {
+			if mayForget(report) {
 				commands = append(commands, forgetCommand(report.Task, report.Attempt))
 			}
 			continue
@@ -27,6 +27,8 @@
 		}
 	}
 	if machine.Condition == Ready {
+		machine.hasLaunches = false
+		machine.promptedAt = 0
 		commands = f.appendRepeatedLaunches(commands, machine)
 		commands = f.appendStarts(commands, now, machine)
 	}
@@ -34,8 +36,8 @@
 	return slices.Clone(commands)
 }
 
-// appendRepeatedLaunches appends the launches that were sent before and whose tasks the heartbeat does not list. A
-// worker ignores a repeated launch of an attempt that it already lists.
+// appendRepeatedLaunches appends the launches that dispatch made or an earlier response sent, and whose tasks the
+// heartbeat does not list. A worker ignores a repeated launch of an attempt that it already lists.
 func (f *Fleet) appendRepeatedLaunches(commands []Command, machine *Machine) []Command {
 	refs := f.scratch.taskRefs[:0]
 	for ref := range machine.Tasks {
@@ -57,20 +59,13 @@
 }
 
 // mayForget reports whether a worker may stop listing an exited attempt. The attempt's outcome must be durable. No
-// direct launch of the same attempt may still arrive, since a worker that has forgotten an attempt would start it
-// again.
-func (f *Fleet) mayForget(machine *Machine, report *TaskReport) bool {
-	if machine.directInFlight {
-		return false
-	}
+// launch of the attempt can still arrive: the worker executed or dropped all earlier responses before it sent this
+// heartbeat.
+func mayForget(report *TaskReport) bool {
 	job := report.job
 	if job == nil {
 		return true
 	}
-	attempt := taskAttempt{report.ref(), report.Attempt}
-	if _, mayArrive := machine.indeterminateLaunches[attempt]; mayArrive {
-		return false
-	}
 	if report.ExitCause != exitDone || job.State.Terminal() {
 		return true
 	}
--- a/internal/fleet/dispatch.go
+++ b/internal/fleet/dispatch.go
@@ -1,6 +1,10 @@
 package fleet
 
-// Direct commands: launches and stops that are sent without waiting for the machine's next heartbeat.
+// Direct requests: stops that are sent without waiting for the machine's next heartbeat, and prompts for an early
+// heartbeat. A direct request never launches a task. A request that was executed and answered may reach the machine
+// once more at any time, even after a restart that has reset the worker's token and session. The worker would then
+// launch every attempt that it does not list, also one that was forgotten. Launches are sent only in the responses to
+// heartbeats, which a worker executes once or never.
 
 import (
 	"time"
@@ -13,32 +17,42 @@
 	directInterval = 200 * time.Millisecond
 	// stopResendInterval is the time after which a stop without effect is sent again.
 	stopResendInterval = time.Second
+	// promptResendInterval is the time after which a prompt that no heartbeat followed is sent again. It is twice the
+	// minimum time between two heartbeats of a worker.
+	promptResendInterval = time.Second
 )
 
-// dispatch sends launches and stops directly to machines, at most one request at a time to each.
+// dispatch launches queued tasks and sends stops and prompts directly to machines, at most one request at a time to
+// each. The response to the prompted heartbeat carries the launches, see appendRepeatedLaunches.
 func (f *Fleet) dispatch(now time.Duration) {
 	for _, machine := range f.machines {
 		if f.MaxDirectRequests > 0 && f.directRequests >= f.MaxDirectRequests {
-			// The tasks of the remaining machines stay in their queues, since a launch that can't be sent now must
-			// not count as sent. The next tick dispatches again.
+			// The tasks of the remaining machines stay in their queues, since a machine that can't be prompted now
+			// would launch them late. The next tick dispatches again.
 			f.writer.planBecameDurable = true
 			return
 		}
 		if !f.takesDirectCommands(now, machine) {
 			continue
 		}
-		commands := f.appendStarts(nil, now, machine)
-		launches := len(commands)
+		if launches := f.appendStarts(f.scratch.commands[:0], now, machine); len(launches) > 0 {
+			machine.hasLaunches = true
+		}
+		var commands []Command
 		if machine.hasStops {
-			commands = append(commands, f.stopCommands(now, machine)...)
+			commands = f.stopCommands(now, machine)
+		}
+		if machine.needsPrompt(now) {
+			machine.promptedAt = now
+			commands = append(commands, promptCommand(f.nextAttempt()))
 		}
 		if len(commands) > 0 {
-			f.sendDirect(now, machine, commands, launches)
+			f.sendDirect(now, machine, commands)
 		}
 	}
 }
 
-// takesDirectCommands reports whether a machine has tasks to start or stop, and a direct request may be sent to the
+// takesDirectCommands reports whether a machine has tasks to launch or stop, and a direct request may be sent to the
 // machine now.
 func (f *Fleet) takesDirectCommands(now time.Duration, machine *Machine) bool {
 	switch {
@@ -49,7 +63,13 @@
 	case now-machine.LastContactAt > f.overdueAfter() || now-machine.dispatchedAt < directInterval:
 		return false
 	}
-	return machine.QueuedTasks > 0 || machine.hasStops
+	return machine.QueuedTasks > 0 || machine.hasStops || machine.hasLaunches
+}
+
+// needsPrompt reports whether a machine should send a heartbeat early, because tasks were launched there.
+func (m *Machine) needsPrompt(now time.Duration) bool {
+	isPrompted := m.promptedAt > 0 && now-m.promptedAt < promptResendInterval
+	return m.hasLaunches && !isPrompted
 }
 
 // stopCommands returns the commands that stop a machine's tasks marked Stopping. It omits tasks whose last stop command
@@ -77,43 +97,29 @@
 	return commands
 }
 
-// sendDirect sends one direct request. The given number of its first commands are launches, which are indeterminate
-// until the response arrives.
-func (f *Fleet) sendDirect(now time.Duration, machine *Machine, commands []Command, launches int) {
+// sendDirect sends one direct request.
+func (f *Fleet) sendDirect(now time.Duration, machine *Machine, commands []Command) {
 	machine.directInFlight = true
 	machine.dispatchedAt = now
 	f.directRequests++
 	f.activity.directRequests++
 	request := directRequest{machine: machine, session: machine.Session, seq: machine.Seq}
-	for _, command := range commands[:launches] {
-		job, taskIndex := f.findTask(command.Task)
-		request.launches = append(request.launches, taskAttempt{TaskRef{job.Index, taskIndex}, command.Attempt})
-		job.Tasks[taskIndex].LaunchIndeterminate = true
-	}
 	message := DirectCommands{Token: machine.Token, Session: machine.Session, Commands: commands}
-	f.SendCommands(machine, message, func(heartbeat *Heartbeat, ok bool) {
-		f.handleDirectResponse(request, heartbeat, ok)
-	})
+	f.SendCommands(machine, message, func(heartbeat *Heartbeat) { f.handleDirectResponse(request, heartbeat) })
 }
 
 // directRequest is a direct request that has no response yet.
 type directRequest struct {
 	machine      *Machine
-	session, seq uint64        // the machine's session and sequence number when the request was sent
-	launches     []taskAttempt // the attempts that the request launches
+	session, seq uint64 // the machine's session and sequence number when the request was sent
 }
 
 // handleDirectResponse handles the outcome of a direct request. The heartbeat is the body of the response, or nil if
-// there is none. If ok is false, the outcome is indeterminate.
-func (f *Fleet) handleDirectResponse(request directRequest, heartbeat *Heartbeat, ok bool) {
+// there is none.
+func (f *Fleet) handleDirectResponse(request directRequest, heartbeat *Heartbeat) {
 	machine := request.machine
 	machine.directInFlight = false
 	f.directRequests--
-	if ok {
-		f.confirmLaunches(request.launches)
-	} else {
-		f.recordIndeterminate(request)
-	}
 	if heartbeat == nil || heartbeat.Machine != machine.Name {
 		return
 	}
@@ -124,29 +130,3 @@
 	}
 	f.acceptHeartbeat(f.Now(), heartbeat, origin)
 }
-
-// confirmLaunches records that the worker received launches.
-func (f *Fleet) confirmLaunches(launches []taskAttempt) {
-	for _, launch := range launches {
-		job := f.jobAt(launch.Job)
-		if job == nil || job.Tasks == nil {
-			continue // the job ended and its tasks were removed while the request was in flight
-		}
-		if task := &job.Tasks[launch.Task]; task.Attempt == launch.attempt {
-			task.LaunchIndeterminate = false
-		}
-	}
-}
-
-// recordIndeterminate records that a direct request may still arrive at its machine.
-func (f *Fleet) recordIndeterminate(request directRequest) {
-	machine := request.machine
-	if machine.Session == request.session {
-		for _, launch := range request.launches {
-			machine.indeterminateLaunches[launch] = struct{}{}
-		}
-	}
-	// The worker may restart before the request arrives. The lease of its new incarnation begins with the restart, and
-	// the launched tasks count until that lease expires.
-	machine.LeaseRenewedAt = max(machine.LeaseRenewedAt, f.Now())
-}
--- a/internal/fleet/env.go
+++ b/internal/fleet/env.go
@@ -56,9 +56,9 @@
 	// release to its end. If LatestEnds is nil, no job depends on another.
 	LatestEnds func(runTime func(*jobs.Job) time.Duration) func(*jobs.Job) (time.Duration, bool)
 
-	// SendCommands sends commands directly to a machine and then calls done. If ok is false, the outcome is
-	// indeterminate. The heartbeat is the body of the response, or nil if there was no response.
-	SendCommands func(machine *Machine, commands DirectCommands, done func(heartbeat *Heartbeat, ok bool))
+	// SendCommands sends commands directly to a machine and then calls done. The heartbeat is the body of the response,
+	// or nil if there was no response.
+	SendCommands func(machine *Machine, commands DirectCommands, done func(heartbeat *Heartbeat))
 	// MaxDirectRequests is the maximum number of direct requests without a response yet; 0 means no maximum.
 	MaxDirectRequests int
 
--- a/internal/fleet/guards_test.go
+++ b/internal/fleet/guards_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -84,17 +86,15 @@
 	return TaskReport{Task: taskName(job, 0), Attempt: job.Tasks[0].Attempt, State: taskExited, ExitCause: exitDone}
 }
 
-// newRigWithLaunch returns a rig and a job of one task, whose direct launch was sent and has no response yet.
+// newRigWithLaunch returns a rig and a job of one task, whose launch was sent in the response to a heartbeat.
 func newRigWithLaunch(t *testing.T) (*rig, *jobs.Job) {
 	t.Helper()
 	g := newRig(t, 1, map[string]json.RawMessage{})
 	g.heartbeat("m", 1, fenced)
 	job := g.submit(spec(1, 1))
 	g.settle(store.Committed)
-	g.keepInContact()
-	g.Tick(g.now, true)
-	if len(g.sentDirect) != 1 || job.Tasks[0].State != jobs.Launched {
-		t.Fatalf("got %d direct requests, state %v, want 1, launched", len(g.sentDirect), job.Tasks[0].State)
+	if commands := starts(g.heartbeat("m", 1, fenced)); len(commands) != 1 || job.Tasks[0].State != jobs.Launched {
+		t.Fatalf("got starts %v, state %v, want 1, launched", commands, job.Tasks[0].State)
 	}
 	return g, job
 }
@@ -106,49 +106,103 @@
 	}
 }
 
-// A direct launch whose outcome is indeterminate must count against its team's quota until a heartbeat carries a raised
-// token.
+// directResponse delivers a heartbeat of machine m in the response to a direct request.
+func (g *rig) directResponse(m string, session, token uint64, tasks ...TaskReport) {
+	g.seq++
+	g.acceptHeartbeat(g.now, newHeartbeat(m, session, g.seq, token, tasks...), fromResponse)
+}
+
+// A direct request must launch no task, since a copy of the request would launch it again.
+func TestDirectRequestsLaunchNoTask(t *testing.T) {
+	g := newRig(t, 1, map[string]json.RawMessage{})
+	g.heartbeat("m", 1, fenced)
+	job := g.submit(spec(1, 4))
+	g.settle(store.Committed)
+	g.keepInContact()
+	g.Tick(g.now, true)
+	if len(g.sentDirect) != 1 || job.TasksByState[jobs.Launched] != 4 {
+		t.Fatalf("got %d direct requests, %d launched tasks, want 1, 4", len(g.sentDirect), job.TasksByState[jobs.Launched])
+	}
+	for _, command := range g.sentDirect[0].Commands {
+		if job, _ := g.findTask(command.Task); job != nil || jobs.ValidID(strings.Split(command.Task, "/")[0]) {
+			t.Errorf("got command %v, want none for a task that exists", command)
+		}
+	}
+	if commands := starts(g.heartbeat("m", 1, fenced)); len(commands) != 4 {
+		t.Errorf("got starts %v in the response to the prompted heartbeat, want 4", commands)
+	}
+}
+
+// A prompt that no heartbeat follows is sent again, but not before promptResendInterval.
+func TestPromptsAreLimited(t *testing.T) {
+	g := newRig(t, 1, map[string]json.RawMessage{})
+	g.heartbeat("m", 1, fenced)
+	g.submit(spec(1, 4))
+	g.settle(store.Committed)
+	for range 19 { // 1.9 s: the first prompt, and one after promptResendInterval
+		g.now += 100 * time.Millisecond
+		g.keepInContact()
+		if g.Tick(g.now, true); len(g.directCallbacks) > 0 {
+			g.directCallbacks[0](nil)
+			g.directCallbacks = nil
+		}
+	}
+	if len(g.sentDirect) != 2 {
+		t.Errorf("got %d prompts, want 2", len(g.sentDirect))
+	}
+}
+
+// A launch in a response that is still in flight must count against its team's quota until the worker's next heartbeat,
+// whatever the response to a direct request lists.
 func TestIndeterminateLaunchCountsUntilFenced(t *testing.T) {
 	g, job := newRigWithLaunch(t)
-	g.directCallbacks[0](nil, false)
 	g.cancel(job)
-	g.heartbeat("m", 1, fenced) // this response raises the token
-	if used := g.Gate.Quota.Team(job.Team).Used.CPUs; used != 1 {
-		t.Fatalf("launch may still arrive: got %v CPUs used, want 1", used)
+	for range 2 {
+		g.directResponse("m", 1, fenced)
+		if used := g.Gate.Quota.Team(job.Team).Used.CPUs; used != 1 {
+			t.Fatalf("launch may still arrive: got %v CPUs used, want 1", used)
+		}
 	}
 	g.heartbeat("m", 1, fenced)
-	if used := g.Gate.Quota.Team(job.Team).Used.CPUs; used != 1 {
-		t.Fatalf("no heartbeat at the raised token yet: got %v CPUs used, want 1", used)
-	}
-	g.heartbeat("m", 1, fenced+1)
 	if used := g.Gate.Quota.Team(job.Team).Used.CPUs; used != 0 {
-		t.Fatalf("after a heartbeat at the raised token: got %v CPUs used, want 0", used)
+		t.Fatalf("after the worker's next heartbeat: got %v CPUs used, want 0", used)
+	}
+}
+
+// A task that is done by an earlier attempt must count while the launch of another attempt may still arrive.
+func TestDoneTaskCountsWhileAnotherLaunchMayArrive(t *testing.T) {
+	g, job := newRigWithLaunch(t)
+	done := doneReport(job)
+	done.Attempt--
+	g.directResponse("m", 1, fenced, done)
+	if used := g.Gate.Quota.Team(job.Team).Used.CPUs; used != 1 || job.Tasks[0].State == jobs.Finished {
+		t.Fatalf("launch may still arrive: got %v CPUs used, state %v, want 1, not finished", used, job.Tasks[0].State)
+	}
+	g.heartbeat("m", 1, fenced, done)
+	if used := g.Gate.Quota.Team(job.Team).Used.CPUs; used != 0 || job.Tasks[0].State != jobs.Finished {
+		t.Fatalf("after the worker's next heartbeat: got %v CPUs used, state %v, want 0, finished", used, job.Tasks[0].State)
 	}
 }
 
-// While a direct launch of an attempt may arrive, the attempt must not be forgotten: a worker that has forgotten it
-// would start it again.
+// An attempt must be forgotten only in response to a heartbeat, since an earlier response in flight may launch it.
 func TestForgetWaitsForAnIndeterminateLaunch(t *testing.T) {
 	g, job := newRigWithLaunch(t)
-	attempt := job.Tasks[0].Attempt
-	stopped := TaskReport{Task: "req-000001/0", Attempt: attempt, State: taskExited, ExitCause: exitError}
-	hasForget := func(cs []Command) bool {
-		for _, c := range cs {
-			if c.Op == opForget {
-				return true
+	failed := TaskReport{Task: "req-000001/0", Attempt: job.Tasks[0].Attempt, State: taskExited, ExitCause: exitError}
+	g.directResponse("m", 1, fenced, failed)
+	g.now += 10 * time.Second
+	g.keepInContact()
+	g.settle(store.Committed)
+	g.Tick(g.now, true)
+	for _, request := range g.sentDirect {
+		for _, command := range request.Commands {
+			if command.Op == opForget {
+				t.Fatalf("got the direct command %v, want no forget command", command)
 			}
 		}
-		return false
 	}
-	if hasForget(g.heartbeat("m", 1, fenced, stopped)) {
-		t.Fatal("direct launch without a response: got a forget command, want none")
-	}
-	g.directCallbacks[0](nil, false)
-	if hasForget(g.heartbeat("m", 1, fenced, stopped)) {
-		t.Fatal("direct launch may still arrive: got a forget command, want none")
-	}
-	if !hasForget(g.heartbeat("m", 1, fenced+1, stopped)) {
-		t.Fatal("after a heartbeat at the raised token: got no forget command, want one")
+	commands := g.heartbeat("m", 1, fenced, failed)
+	if !slices.ContainsFunc(commands, func(c Command) bool { return c == forgetCommand(failed.Task, failed.Attempt) }) {
+		t.Fatalf("response to the worker's own heartbeat: got commands %v, want the attempt forgotten", commands)
 	}
 }
 
@@ -189,12 +243,22 @@
 // A response to a direct request that arrives after its job's tasks were removed must not cause a panic.
 func TestDirectResponseAfterTasksWereRemoved(t *testing.T) {
 	g, job := newRigWithLaunch(t)
-	g.heartbeat("m", 1, fenced, doneReport(job))
+	running := TaskReport{Task: "req-000001/0", Attempt: job.Tasks[0].Attempt, State: taskRunning}
+	g.heartbeat("m", 1, fenced, running)
+	g.stopTask(job, 0)
+	g.now += 2 * time.Second
+	g.Tick(g.now, true)
+	done := doneReport(job)
+	g.heartbeat("m", 1, fenced, done)
 	g.settle(store.Committed)
 	if job.Tasks != nil || job.State != jobs.Done {
 		t.Fatalf("got state %v, want done and the tasks removed", job.State)
 	}
-	g.directCallbacks[0](nil, true)
+	callbacks := g.directCallbacks
+	if len(callbacks) != 1 {
+		t.Fatalf("got %d direct requests, want 1", len(callbacks))
+	}
+	callbacks[0](newHeartbeat("m", 1, g.seq+1, fenced, done))
 }
 
 // The write of a job's terminal record must be conditional on the version that was read, so that it can't overwrite an
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -55,7 +55,6 @@
 		// All other commands require a heartbeat at the machine's token.
 		return HeartbeatResponse{Token: machine.Token, Commands: f.stopCancelled(heartbeat)}
 	}
-	machine.raiseTokenIfIndeterminate()
 	response := HeartbeatResponse{Token: machine.Token}
 	if machine.Condition == Ready || machine.Condition == ReclaimNoticed {
 		response.Commands = f.buildCommands(now, machine, heartbeat)
@@ -114,10 +113,7 @@
 		// it responds to direct commands.
 		f.recordContact(now, machine)
 	}
-	if machine.fencing {
-		machine.fencing = false
-		f.clearIndeterminateLaunches(machine)
-	}
+	machine.fencing = false
 	f.updateCondition(now, machine, heartbeat, origin)
 	f.reconcileTasks(now, machine, heartbeat, origin)
 	return machine, Accepted
@@ -159,11 +155,8 @@
 	// The worker's lease expired although the fleet responded to its heartbeats.
 	missedResponses := isNewer && machine.Session > 0 && now-machine.LeaseRenewedAt < f.Settings.WorkerLease()
 	if heartbeat.Session != machine.Session {
-		// Direct commands name their session: the worker refuses commands for the former session.
-		f.clearIndeterminateLaunches(machine)
 		f.handleWorkerRestart(now, machine)
-		// The lease of a session counts from the session's beginning, even if none of its heartbeats ever got a
-		// response: a directly launched task may run until that lease expires.
+		// The lease of a session counts from the session's beginning, even if none of its heartbeats ever got a response.
 		machine.LeaseRenewedAt = now
 	}
 	f.SetMachineDetails(machine, heartbeat.Addr, heartbeat.Type, heartbeat.Zone, heartbeat.Spot)
@@ -238,11 +231,3 @@
 		f.setCondition(machine, Ready, "heartbeat at the leader's token")
 	}
 }
-
-// clearIndeterminateLaunches records that the worker can no longer execute any direct launch sent so far.
-func (f *Fleet) clearIndeterminateLaunches(machine *Machine) {
-	clear(machine.indeterminateLaunches)
-	for ref := range machine.Tasks {
-		f.jobAt(ref.Job).Tasks[ref.Task].LaunchIndeterminate = false
-	}
-}
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -76,6 +76,5 @@
 		}
 	}
 	f.clearQueues(machine)
-	clear(machine.indeterminateLaunches)
 	machine.cachedImages = nil
 }
--- a/internal/fleet/licences_test.go
+++ b/internal/fleet/licences_test.go
@@ -173,24 +173,24 @@
 	}
 }
 
-// A direct launch without a response may arrive late. Its unit stays in use until a heartbeat carries a raised fencing
-// token.
+// A launch in a heartbeat's response that is still in flight keeps its unit in use until the worker's next heartbeat,
+// whatever the response to a direct request lists.
 func TestIndeterminateLaunchKeepsUnit(t *testing.T) {
 	g := newLicenceRig(t, 1, map[string]json.RawMessage{}, &licences.Pool{Name: "p", Count: 1})
 	g.heartbeat("m", 1, fenced)
 	job := g.submit(specWithLicences(1, 1, oneUnit()))
 	g.settle(store.Committed)
-	g.keepInContact()
-	g.Tick(g.now, true)
-	g.directCallbacks[0](nil, false)
+	if commands := starts(g.heartbeat("m", 1, fenced)); len(commands) != 1 {
+		t.Fatalf("got starts %v, want 1", commands)
+	}
 	g.cancel(job)
-	for _, token := range []uint64{fenced, fenced} {
-		if g.heartbeat("m", 1, token); g.freeUnits(0) != 0 {
+	for range 2 {
+		if g.directResponse("m", 1, fenced); g.freeUnits(0) != 0 {
 			t.Fatal("the unit is free while the launch may still arrive, want it in use")
 		}
 	}
-	if g.heartbeat("m", 1, fenced+1); g.freeUnits(0) != 1 {
-		t.Fatal("the unit is not free after a heartbeat with a raised token")
+	if g.heartbeat("m", 1, fenced); g.freeUnits(0) != 1 {
+		t.Fatal("the unit is not free after the worker's next heartbeat")
 	}
 }
 
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -52,12 +52,6 @@
 	Task int32
 }
 
-// taskAttempt identifies one attempt at a task.
-type taskAttempt struct {
-	TaskRef
-	attempt uint64
-}
-
 // tokenBits is the number of low bits of a token that count how often the token was raised within a term.
 const tokenBits = 20
 
@@ -72,7 +66,7 @@
 	Condition Condition
 
 	// Token is the fencing token. The high bits are the leader's term. The low tokenBits count how often the token was
-	// raised in this term, which makes launches of this leader void that may still arrive late.
+	// raised in this term, which makes commands of this leader void that may still arrive late.
 	Token        uint64
 	Session, Seq uint64 // session and sequence number of the latest accepted heartbeat
 
@@ -111,12 +105,11 @@
 	// Direct commands.
 	directInFlight bool          // a direct request has no response yet
 	dispatchedAt   time.Duration // time of the last direct request
+	promptedAt     time.Duration // time of the last prompt for a heartbeat; 0 if none was sent since the last response
+	hasLaunches    bool          // a task was launched here since the last response to a heartbeat
 	hasStops       bool          // a task here may have to be stopped by a direct command
 	fencing        bool          // the token was raised and no heartbeat has carried it yet
-	// indeterminateLaunches holds the attempts whose direct launch was not confirmed and may still arrive in this
-	// session.
-	indeterminateLaunches map[taskAttempt]struct{}
-	reachability          reachability
+	reachability   reachability
 
 	// Capacity that is kept free here for waiting work.
 	keepsCPUsForGPUWork bool         // processors beside its accelerators are kept for GPU work
@@ -175,15 +168,6 @@
 	m.fencing = true
 }
 
-// raiseTokenIfIndeterminate raises the machine's token if the outcome of a direct launch is indeterminate. Once a
-// heartbeat carries the new token, that launch can no longer be executed. Without the new token, a launch that never
-// arrived would count against its team's quota until the worker's session ends.
-func (m *Machine) raiseTokenIfIndeterminate() {
-	if len(m.indeterminateLaunches) > 0 && !m.directInFlight && !m.fencing {
-		m.raiseToken()
-	}
-}
-
 // Free returns the capacity that no task uses.
 func (m *Machine) Free() planner.Size { return m.Capacity.Sub(m.Used) }
 
@@ -193,19 +177,18 @@
 		return machine
 	}
 	machine := &Machine{
-		Index:                 int32(len(f.machines)),
-		Name:                  name,
-		Type:                  jobs.None,
-		Zone:                  jobs.None,
-		Token:                 f.Term << tokenBits,
-		RegisteredAt:          now,
-		LastContactAt:         now,
-		LeaseRenewedAt:        now,
-		IdleSince:             now,
-		Tasks:                 map[TaskRef]struct{}{},
-		indeterminateLaunches: map[taskAttempt]struct{}{},
-		cachedImages:          f.hints.inherited[name],
-		slowdown:              1,
+		Index:          int32(len(f.machines)),
+		Name:           name,
+		Type:           jobs.None,
+		Zone:           jobs.None,
+		Token:          f.Term << tokenBits,
+		RegisteredAt:   now,
+		LastContactAt:  now,
+		LeaseRenewedAt: now,
+		IdleSince:      now,
+		Tasks:          map[TaskRef]struct{}{},
+		cachedImages:   f.hints.inherited[name],
+		slowdown:       1,
 	}
 	f.machines = append(f.machines, machine)
 	f.byName[machine.Name] = machine
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -105,6 +105,14 @@
 	return Command{Op: opStart, Task: task, Attempt: attempt}
 }
 
+// promptTask is the name of a task that can't exist, because no job has such an id.
+const promptTask = "heartbeat-prompt/0"
+
+// promptCommand returns a command that makes a worker send a heartbeat early. The worker refuses to launch a task that
+// does not exist, lists the refused attempt, and sends a heartbeat because its list has changed. Executing the command
+// again has no other effect.
+func promptCommand(attempt uint64) Command { return startCommand(promptTask, attempt) }
+
 // stopCommand returns the command that stops an attempt at a task, with a grace period in seconds.
 func stopCommand(task string, attempt uint64, graceS float64) Command {
 	return Command{Op: opStop, Task: task, Attempt: attempt, GraceS: graceS}
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -66,10 +66,10 @@
 	workers    []*modelWorker
 	startCount int
 
-	// unreliableMachines adds faults: machines receive nothing for a while or restart under their names, and copies of
-	// heartbeats arrive late.
-	unreliableMachines                       bool
-	unreachablePeriods, lateCopies, restarts int
+	// unreliableMachines adds faults: machines receive nothing for a while or restart under their names, copies of
+	// heartbeats arrive late, and direct requests that were executed are delivered again.
+	unreliableMachines                                 bool
+	unreachablePeriods, lateCopies, repeated, restarts int
 
 	pools           []*licences.Pool // nil: no job needs a licence
 	lingering       []lingeringUnits
@@ -253,8 +253,7 @@
 	job := m.jobs.Get(id)
 	for i := range job.Tasks {
 		task := &job.Tasks[i]
-		t.Logf("task %d is %s on machine %d, %d failures, launch indeterminate %v",
-			i, task.State, task.Machine, task.Failures, task.LaunchIndeterminate)
+		t.Logf("task %d is %s on machine %d, %d failures", i, task.State, task.Machine, task.Failures)
 	}
 	for _, worker := range m.workers {
 		for _, task := range worker.tasks {
@@ -298,9 +297,10 @@
 }
 
 // No rule is broken with machines that send heartbeats but receive nothing, machines that restart under their names
-// with session and sequence numbers from the start, and copies of heartbeats that arrive up to four leases late.
+// with session and sequence numbers from the start, and copies of heartbeats and of executed direct requests that
+// arrive up to four leases late.
 func TestModelKeepsRulesWithUnreliableMachines(t *testing.T) {
-	starts, ended, unreachable, copies, restarts := 0, 0, 0, 0, 0
+	starts, ended, unreachable, copies, repeated, restarts := 0, 0, 0, 0, 0, 0
 	for seed := uint64(1); seed <= seedCount(); seed++ {
 		m := newModel(seed)
 		m.unreliableMachines = true
@@ -308,12 +308,14 @@
 		starts += m.startCount
 		unreachable += m.unreachablePeriods
 		copies += m.lateCopies
+		repeated += m.repeated
 		restarts += m.restarts
 	}
-	t.Logf("%d starts, %d ended jobs, %d unreachable periods, %d late copies, %d restarts",
-		starts, ended, unreachable, copies, restarts)
-	if starts < 2000 || ended < 1000 || unreachable < 100 || copies < 5000 || restarts < 100 {
-		t.Fatal("want at least 2000 starts, 1000 jobs, 100 unreachable periods, 5000 copies and 100 restarts")
+	t.Logf("%d starts, %d ended jobs, %d unreachable periods, %d late copies, %d repeated requests, %d restarts",
+		starts, ended, unreachable, copies, repeated, restarts)
+	if starts < 2000 || ended < 1000 || unreachable < 100 || copies < 5000 || repeated < 1000 || restarts < 100 {
+		t.Fatal("want at least 2000 starts, 1000 jobs, 100 unreachable periods, 5000 copies, 1000 repeated requests " +
+			"and 100 restarts")
 	}
 }
 
--- a/internal/fleet/modelstore_test.go
+++ b/internal/fleet/modelstore_test.go
@@ -211,10 +211,10 @@
 				}
 			})
 		},
-		SendCommands: func(machine *Machine, commands DirectCommands, done func(*Heartbeat, bool)) {
-			m.sendCommands(machine, commands, func(heartbeat *Heartbeat, ok bool) {
+		SendCommands: func(machine *Machine, commands DirectCommands, done func(*Heartbeat)) {
+			m.sendCommands(machine, commands, func(heartbeat *Heartbeat) {
 				if m.leads(term) {
-					done(heartbeat, ok)
+					done(heartbeat)
 				}
 			})
 		},
--- a/internal/fleet/modelworkers_test.go
+++ b/internal/fleet/modelworkers_test.go
@@ -68,15 +68,15 @@
 }
 
 // sendCommands delivers direct commands to a worker. The commands or the response may be lost or late.
-func (m *model) sendCommands(machine *Machine, commands DirectCommands, done func(*Heartbeat, bool)) {
+func (m *model) sendCommands(machine *Machine, commands DirectCommands, done func(*Heartbeat)) {
 	responded := false
-	finish := func(heartbeat *Heartbeat, ok bool) {
+	finish := func(heartbeat *Heartbeat) {
 		if !responded {
 			responded = true
-			done(heartbeat, ok)
+			done(heartbeat)
 		}
 	}
-	m.after(directCommandTimeout, func() { finish(nil, false) })
+	m.after(directCommandTimeout, func() { finish(nil) })
 	if m.rng.Float64() < m.faultRate/4 {
 		return
 	}
@@ -98,7 +98,22 @@
 			return
 		}
 		if heartbeat, ok := m.handleCommands(worker, commands); ok {
-			m.after(m.networkDelay(), func() { finish(heartbeat, true) })
+			m.after(m.networkDelay(), func() { finish(heartbeat) })
+			m.repeatCommands(worker, commands)
+		}
+	})
+}
+
+// repeatCommands delivers an executed direct request once more, up to four leases late, also to a worker that has
+// restarted since.
+func (m *model) repeatCommands(worker *modelWorker, commands DirectCommands) {
+	if !m.unreliableMachines || m.rng.IntN(2) == 0 {
+		return
+	}
+	m.after(time.Second+time.Duration(m.rng.Int64N(int64(40*time.Second))), func() {
+		if !worker.hung && m.now >= worker.unreachableUntil {
+			m.repeated++
+			m.handleCommands(worker, commands)
 		}
 	})
 }
--- a/internal/fleet/reachability_test.go
+++ b/internal/fleet/reachability_test.go
@@ -23,18 +23,19 @@
 	leaseStart                    time.Duration // time from which the worker's lease counts
 	runningAttempt                uint64        // attempt at the task that is on the machine; 0 if none is
 	isDead                        bool
-	incarnation, knownIncarnation int             // number of restarts, and their number at the last accepted heartbeat
-	sentHeartbeats                []sentHeartbeat // all heartbeats that were sent
-	removedGuard                  string          // the guard that the test removes; "" if none
-	copyEffect                    string          // description of a forbidden effect of a copy; "" if there was none
+	incarnation, knownIncarnation int              // number of restarts, and their number at the last accepted heartbeat
+	sentHeartbeats                []sentHeartbeat  // all heartbeats that were sent
+	answeredRequests              []DirectCommands // all direct requests that the worker executed
+	removedGuard                  string           // the guard that the test removes; "" if none
+	copyEffect                    string           // description of a forbidden effect of a copy; "" if there was none
 }
 
 // The guards of the fleet that a test may remove, to show that each of them is necessary.
 const (
-	guardStaleHeartbeats     = "a heartbeat that is not newer than the last is stale"
-	guardExpiredSession      = "a heartbeat of an expired session is stale"
-	guardHighestToken        = "the tokens of an incarnation never decrease"
-	guardNewIncarnationLease = "the lease of a new incarnation counts from its beginning"
+	guardStaleHeartbeats = "a heartbeat that is not newer than the last is stale"
+	guardExpiredSession  = "a heartbeat of an expired session is stale"
+	guardHighestToken    = "the tokens of an incarnation never decrease"
+	guardNoDirectLaunch  = "a direct request launches no task"
 )
 
 // sentHeartbeat is a heartbeat that was sent, and of which a copy may arrive later.
@@ -147,6 +148,7 @@
 func (m *singleMachine) execute(cs []Command) {
 	for _, c := range cs {
 		switch {
+		case c.Task == promptTask:
 		case c.Op == opStart && m.runningAttempt == 0:
 			m.runningAttempt = c.Attempt
 		case c.Op == opStop && m.runningAttempt == c.Attempt:
@@ -159,7 +161,6 @@
 // arrives is set, and the response reaches the fleet if received is set.
 func (m *singleMachine) deliverDirect(arrives, received bool) {
 	machine := m.machines[0]
-	renewedAt := machine.LeaseRenewedAt
 	m.Tick(m.now, true)
 	if len(m.directCallbacks) == 0 {
 		return
@@ -167,30 +168,45 @@
 	request := m.sentDirect[len(m.sentDirect)-1]
 	done := m.directCallbacks[len(m.directCallbacks)-1]
 	m.directCallbacks = nil
+	if m.removedGuard == guardNoDirectLaunch {
+		request.Commands = m.appendRepeatedLaunches(request.Commands, machine)
+	}
 	var heartbeat *Heartbeat
 	if arrives && !m.isDead {
 		m.expireLease()
-		if request.Token >= m.token && request.Session == m.session {
-			m.token = request.Token
-			m.execute(request.Commands)
-		}
+		m.executeDirect(request)
+		m.answeredRequests = append(m.answeredRequests, request)
 		heartbeat = m.makeHeartbeat()
 		m.sentHeartbeats = m.sentHeartbeats[:len(m.sentHeartbeats)-1] // a response is never delivered as a copy
 	}
 	if heartbeat == nil || !received {
 		m.now += 2 * time.Second
-		done(nil, false)
-		if m.removedGuard == guardNewIncarnationLease {
-			machine.LeaseRenewedAt = renewedAt
-		}
+		done(nil)
 		return
 	}
 	c := *heartbeat
-	if done(&c, true); m.removedGuard == guardNewIncarnationLease && machine.LeaseRenewedAt == m.now {
-		machine.LeaseRenewedAt = renewedAt
+	done(&c)
+}
+
+// executeDirect executes a direct request, unless its token or session is not the worker's.
+func (m *singleMachine) executeDirect(request DirectCommands) {
+	if request.Token >= m.token && request.Session == m.session {
+		m.token = request.Token
+		m.execute(request.Commands)
 	}
 }
 
+// repeatDirect delivers the latest executed direct request once more. Nobody receives the response.
+func (m *singleMachine) repeatDirect() {
+	m.expireLease()
+	if m.isDead || len(m.answeredRequests) == 0 {
+		return
+	}
+	m.executeDirect(m.answeredRequests[len(m.answeredRequests)-1])
+	m.makeHeartbeat()
+	m.sentHeartbeats = m.sentHeartbeats[:len(m.sentHeartbeats)-1]
+}
+
 // modelEvent is an event of the model, and the function that applies it.
 type modelEvent struct {
 	name  string
@@ -225,6 +241,8 @@
 	}},
 	{"direct request", func(m *singleMachine) { m.deliverDirect(true, true) }},
 	{"direct request, lost response", func(m *singleMachine) { m.deliverDirect(true, false) }},
+	{"copy of a direct request", func(m *singleMachine) { m.repeatDirect() }},
+	{"task ends", func(m *singleMachine) { m.runningAttempt = 0 }},
 	{"lost direct request", func(m *singleMachine) { m.deliverDirect(false, false) }},
 	{"death", func(m *singleMachine) { m.isDead, m.runningAttempt = true, 0 }},
 	{"3 s", func(m *singleMachine) { m.now += 3 * time.Second }},
@@ -324,8 +342,8 @@
 }
 
 // Plays all short sequences of events of one machine: lost messages, delayed copies of heartbeats, restarts of the
-// worker with its session and sequence number reset, direct requests, and the machine's death. A task on the machine
-// must count, a recovered machine must get work again, and no copy may make a dead machine ready. Without any one of
+// worker with its session and sequence number reset, direct requests and their copies, the end of the task, and the
+// machine's death. A task on the machine must count, a recovered machine must get work again, and no copy may make a dead machine ready. Without any one of
 // the guards, some sequence must break a rule.
 func TestAllEventSequencesOfOneMachine(t *testing.T) {
 	length := 4
@@ -343,7 +361,7 @@
 		{guardStaleHeartbeats, nil},
 		{guardExpiredSession, []string{"lost heartbeat", "17 s"}},
 		{guardHighestToken, []string{"restart", "direct request", "heartbeat"}},
-		{guardNewIncarnationLease, []string{"3 s", "restart"}},
+		{guardNoDirectLaunch, []string{"direct request", "task ends"}},
 	} {
 		if n, failure := exploreSequences(t, "", 2, g.prefix...); failure != "" {
 			t.Fatalf("with all guards: sequence %d failed: %s", n, failure)
@@ -384,7 +402,7 @@
 	}
 }
 
-// A worker has restarted, and a direct launch to its new incarnation has no response yet. Then a copy of a heartbeat
+// A worker has restarted, and the launch of a task in its new incarnation is not confirmed yet. Then a copy of a heartbeat
 // from its former incarnation arrives, whose session number was higher. The copy must not release the launch, renew
 // the lease or count as contact, and the heartbeats of the new incarnation must still be accepted.
 func TestStaleCopyFromAFormerIncarnationHasNoEffect(t *testing.T) {
@@ -408,10 +426,15 @@
 	if machine.Session != 1 || machine.Condition != Ready {
 		t.Fatalf("after the restart: got session %d, condition %v, want 1, acting", machine.Session, machine.Condition)
 	}
-	machine.indeterminateLaunches[taskAttempt{TaskRef{0, 0}, 7}] = struct{}{}
+	job := g.submit(spec(1, 1))
+	g.settle(store.Committed)
+	restarted.Seq++
+	if response, _ := g.HandleHeartbeat(g.now, restarted); len(starts(response.Commands)) != 1 {
+		t.Fatalf("got commands %v, want one start", response.Commands)
+	}
 	describe := func() string {
 		return fmt.Sprint(machine.Session, machine.Seq, machine.LastContactAt, machine.LeaseRenewedAt, machine.Condition,
-			machine.Token, len(machine.indeterminateLaunches))
+			machine.Token, len(machine.Tasks), job.Tasks[0].State)
 	}
 	before := describe()
 	g.now += time.Second
--- a/internal/fleet/reconcile.go
+++ b/internal/fleet/reconcile.go
@@ -31,7 +31,7 @@
 		switch {
 		case report.job == nil || report.job.Tasks == nil:
 		case report.State == taskExited:
-			f.reconcileExitedTask(now, machine, report)
+			f.reconcileExitedTask(now, machine, report, origin)
 		default:
 			f.reconcileLiveTask(now, machine, report)
 		}
@@ -108,7 +108,6 @@
 	if len(job.LicenceUnits) > 0 {
 		f.Gate.Licences.SetAttempt(now, licenceRef(job, taskIndex), report.Attempt, job.LicenceUnits)
 	}
-	task.LaunchIndeterminate = false
 	f.updatePhase(now, machine, report)
 }
 
@@ -149,11 +148,13 @@
 }
 
 // reconcileExitedTask records the exit of an attempt.
-func (f *Fleet) reconcileExitedTask(now time.Duration, machine *Machine, report *TaskReport) {
+func (f *Fleet) reconcileExitedTask(
+	now time.Duration, machine *Machine, report *TaskReport, origin heartbeatOrigin,
+) {
 	// The heartbeat may list another attempt at the task as live.
 	_, isAlsoLive := f.scratch.listedTasks[report.ref()]
 	if report.ExitCause == exitDone {
-		f.reconcileDoneTask(now, machine, report, isAlsoLive)
+		f.reconcileDoneTask(now, machine, report, isAlsoLive, origin)
 		return
 	}
 	task := &report.job.Tasks[report.taskIndex]
@@ -169,7 +170,9 @@
 }
 
 // reconcileDoneTask records that an attempt succeeded, and so its task is done.
-func (f *Fleet) reconcileDoneTask(now time.Duration, machine *Machine, report *TaskReport, isAlsoLive bool) {
+func (f *Fleet) reconcileDoneTask(
+	now time.Duration, machine *Machine, report *TaskReport, isAlsoLive bool, origin heartbeatOrigin,
+) {
 	job, taskIndex := report.job, report.taskIndex
 	task := &job.Tasks[taskIndex]
 	isElsewhere := task.Machine != machine.Index
@@ -179,7 +182,7 @@
 		}
 		return
 	}
-	launchMayArrive := task.LaunchIndeterminate && task.Attempt != report.Attempt
+	launchMayArrive := task.State == jobs.Launched && task.Attempt != report.Attempt && origin != fromRequest
 	if task.State.Occupies() && (isElsewhere || isAlsoLive || launchMayArrive) {
 		// The task is done, but another attempt at it may be on a machine. The task counts there until a proof that
 		// the other attempt has ended.
@@ -306,12 +309,12 @@
 	job := f.jobAt(ref.Job)
 	switch task := &job.Tasks[ref.Task]; task.State {
 	case jobs.Launched:
-		// The launch was sent in a direct request, or in a response that is still in flight or that the worker never
-		// received. The heartbeat of a direct response can't tell the latter two apart. Only if the worker never
-		// received the launch will it certainly not start the task. In that case buildCommands sends the launch again,
-		// unless the task must not start any more.
+		// The launch was not sent yet, or in a response that is in flight or that the worker never received. The heartbeat
+		// of a direct response can't tell these apart. A heartbeat of the worker's own shows that the worker has not
+		// received the launch and never will, since it waits for one response at a time. Then buildCommands sends the
+		// launch in the response, unless the task must not start any more.
 		isUnwanted := job.State.Terminal() || machine.Condition != Ready
-		if isUnwanted && !task.LaunchIndeterminate && origin == fromRequest {
+		if isUnwanted && origin == fromRequest {
 			f.release(now, job, ref.Task, jobs.Unplanned, licences.NeverStarted)
 		}
 	case jobs.Recovered:
--- a/internal/fleet/rig_test.go
+++ b/internal/fleet/rig_test.go
@@ -22,7 +22,7 @@
 	kv              map[string]json.RawMessage
 	revision        uint64
 	pendingCommits  []func(store.Outcome)
-	directCallbacks []func(heartbeat *Heartbeat, ok bool)
+	directCallbacks []func(heartbeat *Heartbeat)
 	sentDirect      []DirectCommands
 	seq             uint64
 }
@@ -88,7 +88,7 @@
 			}
 			done(item, nil)
 		},
-		SendCommands: func(_ *Machine, commands DirectCommands, done func(*Heartbeat, bool)) {
+		SendCommands: func(_ *Machine, commands DirectCommands, done func(*Heartbeat)) {
 			g.sentDirect, g.directCallbacks = append(g.sentDirect, commands), append(g.directCallbacks, done)
 		},
 		OnJobRecord: func(now time.Duration, item store.Item) { g.applyRecord(item.Key, item.Value) },
--- a/internal/jobs/task.go
+++ b/internal/jobs/task.go
@@ -52,18 +52,17 @@
 
 // Task is a task of a job that this controller plans.
 type Task struct {
-	State               TaskState
-	Phase               Phase
-	Stopping            bool // the task is to be stopped, whether or not the stop was sent
-	LaunchIndeterminate bool // a direct launch request without a response may still reach the machine
-	Done                bool // the task is known to be done, though an attempt may still be on a machine
-	Failures            uint8
-	Machine             int32  // index of the planned or current machine, or None
-	Attempt             uint64 // number of the attempt on a machine; 0 if there is none
-	LaunchedAt          time.Duration
-	RunningSince        time.Duration // time of the first report in phase Running
-	NotBefore           time.Duration // earliest time of the next start
-	StopSentAt          time.Duration // time at which the last stop was sent
+	State        TaskState
+	Phase        Phase
+	Stopping     bool // the task is to be stopped, whether or not the stop was sent
+	Done         bool // the task is known to be done, though an attempt may still be on a machine
+	Failures     uint8
+	Machine      int32  // index of the planned or current machine, or None
+	Attempt      uint64 // number of the attempt on a machine; 0 if there is none
+	LaunchedAt   time.Duration
+	RunningSince time.Duration // time of the first report in phase Running
+	NotBefore    time.Duration // earliest time of the next start
+	StopSentAt   time.Duration // time at which the last stop was sent
 }
 
 // taskTransitions lists the states that may follow each state. Any other transition indicates a defect.
@@ -105,7 +104,6 @@
 	j.SetTaskPhase(taskIndex, NoPhase)
 	task := &j.Tasks[taskIndex]
 	task.Stopping = false
-	task.LaunchIndeterminate = false
 	task.Attempt = 0
 }
 
--- a/internal/simulator/fixtures_test.go
+++ b/internal/simulator/fixtures_test.go
@@ -85,6 +85,18 @@
 	})
 }
 
+// largestZone returns the zone with the most ready machines. A zone with very few machines never counts as lost.
+func (sim *Simulation) largestZone() (largest string) {
+	machines := map[string]int{}
+	for _, machine := range sim.readyMachines() {
+		machines[machine.zone]++
+		if machines[machine.zone] > machines[largest] {
+			largest = machine.zone
+		}
+	}
+	return largest
+}
+
 // checkAnswered checks that no job's queries have been unanswered for longer than a limit since a time.
 func (r *testCluster) checkAnswered(pollers *JobPollers, since, limit time.Duration) {
 	r.t.Helper()
--- a/internal/simulator/measurements.go
+++ b/internal/simulator/measurements.go
@@ -31,7 +31,8 @@
 	// a new leader and delivered after its election.
 	DuplicatesSent, HeartbeatsReplayed int
 	// CommandsRepeated counts the direct requests that were delivered again after their answer, RepeatsExecuted those of
-	// them that the worker executed, and RepeatedLaunches the tasks that these launched.
+	// them that the worker executed, and RepeatedLaunches the tasks that these launched and the worker
+	// did not refuse.
 	CommandsRepeated, RepeatsExecuted, RepeatedLaunches int
 	// LateWrites counts the transactions that were applied late without an answer, LostAnswers the transactions that
 	// were applied immediately without an answer.
--- a/internal/simulator/repeated_commands.go
+++ b/internal/simulator/repeated_commands.go
@@ -96,9 +96,14 @@
 	sim.stats.CommandsRepeated++
 	before := len(machine.tasks)
 	status, _ := sim.applyDirectCommands(now, machine, httpRequest{path: directCommandsPath, body: body})
-	if status == http.StatusOK {
-		sim.stats.RepeatsExecuted++
-		sim.stats.RepeatedLaunches += max(0, len(machine.tasks)-before)
+	if status != http.StatusOK {
+		return
+	}
+	sim.stats.RepeatsExecuted++
+	for _, task := range machine.tasks[min(before, len(machine.tasks)):] {
+		if task.state != taskExited {
+			sim.stats.RepeatedLaunches++
+		}
 	}
 }
 
--- a/internal/simulator/repeated_commands_test.go
+++ b/internal/simulator/repeated_commands_test.go
@@ -89,6 +89,7 @@
 		{name: "both restart", restartMachines: true, restartControllers: true},
 	} {
 		t.Run(run.name, func(t *testing.T) {
+			t.Parallel()
 			var repeated, executed, launched int
 			for seed := range repeatSeeds() {
 				stats := run.play(t, seed+1)
--- a/internal/simulator/write_conditions_test.go
+++ b/internal/simulator/write_conditions_test.go
@@ -113,9 +113,14 @@
 	cluster.waitFor("all controllers restarted", time.Minute, func() bool { return rolled })
 	cluster.waitFor("cluster at the newest level", 30*time.Second, func() bool { return cluster.ClusterLevel() == rollout.Newest })
 	cluster.rolloutCommand("hold")
-	cluster.PartitionZone("a", DropBoth)
+	if err := cluster.BootMachines(6); err != nil {
+		t.Fatal(err)
+	}
+	cluster.Advance(2 * time.Second)
+	zone := cluster.largestZone()
+	cluster.PartitionZone(zone, DropBoth)
 	cluster.Advance(12 * time.Second)
-	cluster.PartitionZone("a", Connected)
+	cluster.PartitionZone(zone, Connected)
 	cluster.Advance(70 * time.Second) // the leader requests the prices once a minute
 	cluster.InterceptTxns(nil)
 	cluster.waitUntilDone()
