--- a/internal/simulator/machine.go
+++ b/internal/simulator/machine.go
@@ -38,8 +38,8 @@
 	outboundRefusedUntil time.Duration // connections from the machine are refused; direct commands still work
 	faulty               bool          // every task that starts on the machine fails
 
-	// answeredCommands holds the requests that RepeatCommandsAtWorstTime may deliver again. repeatedIncarnation and
-	// repeatedElections are the incarnation and the number of elections at its last check.
+	// answeredCommands holds the requests that may be delivered again. repeatedIncarnation and repeatedElections are the
+	// incarnation and the number of elections at the last check of RepeatCommandsAtWorstTime.
 	answeredCommands    []*answeredCommands
 	repeatedIncarnation int
 	repeatedElections   int
--- a/internal/simulator/repeated_commands.go
+++ b/internal/simulator/repeated_commands.go
@@ -30,6 +30,7 @@
 	rng         *rand.Rand
 	share       float64 // share of requests that are repeated at drawn times
 	delay       delayRange
+	keep        bool // answered requests are kept for RepeatOldestCommands
 	atWorstTime bool
 }
 
@@ -57,9 +58,27 @@
 func (sim *Simulation) RepeatCommandsAtWorstTime(on bool) {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
+	sim.faults.repeated.keep = on
 	sim.faults.repeated.atWorstTime = on
 }
 
+// KeepCommands keeps the direct requests that workers execute and answer from now on, for RepeatOldestCommands.
+func (sim *Simulation) KeepCommands() {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	sim.faults.repeated.keep = true
+}
+
+// RepeatOldestCommands delivers the oldest kept request of a machine again now, if there is one.
+func (sim *Simulation) RepeatOldestCommands(name string) {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	machine := sim.cloud.machineByName[name]
+	if len(machine.answeredCommands) > 0 {
+		sim.deliverRepeat(sim.now(), machine, machine.answeredCommands[0].body)
+	}
+}
+
 // keepAnsweredCommands records a request that a worker has executed and answered, and schedules its repetition if it
 // is drawn. The caller holds the mutex.
 func (sim *Simulation) keepAnsweredCommands(now time.Duration, machine *Machine, body []byte) {
@@ -67,7 +86,7 @@
 	if fault.share > 0 && fault.rng.Float64() < fault.share {
 		sim.env.schedule(fault.delay.draw(fault.rng), func() { sim.repeatCommands(machine, body) })
 	}
-	if !fault.atWorstTime {
+	if !fault.keep {
 		return
 	}
 	kept := &answeredCommands{body: body, answeredAt: now}
@@ -84,15 +103,14 @@
 func (sim *Simulation) repeatCommands(machine *Machine, body []byte) {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
-	now := sim.now()
-	if machine.dead || now < machine.upAt || now < machine.hungUntil || now < machine.inboundLostUntil {
-		return
-	}
-	sim.deliverRepeat(now, machine, body)
+	sim.deliverRepeat(sim.now(), machine, body)
 }
 
-// deliverRepeat executes a request once more. The caller holds the mutex.
+// deliverRepeat executes a request once more if the machine can receive it. The caller holds the mutex.
 func (sim *Simulation) deliverRepeat(now time.Duration, machine *Machine, body []byte) {
+	if machine.dead || now < machine.upAt || now < machine.hungUntil || now < machine.inboundLostUntil {
+		return
+	}
 	sim.stats.CommandsRepeated++
 	before := len(machine.tasks)
 	status, _ := sim.applyDirectCommands(now, machine, httpRequest{path: directCommandsPath, body: body})
