--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -77,7 +77,12 @@
 	coresDesc    = desc("cores", "Cores of ready machines: total and in use. Only the leader exports it.", "what")
 	gpusDesc     = desc("gpus", "Accelerators of ready machines: total and in use. Only the leader exports it.", "what")
 	licencesDesc = desc("licence_seats", "Units of each licence pool. Only the leader exports it.", "pool", "what")
-	levelDesc    = desc("level", "Level of the cluster's stored state, "+
+	commandsDesc = desc("commands", "Commands to machines in this term: launch, stop, forget, and prompts for a heartbeat. "+
+		"Only the leader exports it.", "what")
+	unexpectedDesc = desc("unexpected_attempts", "Live attempts in this term that were listed by another machine than "+
+		"the one on which their task counts (second_machine), or that the leader did not launch there (other_attempt). "+
+		"Only the leader exports it.", "what")
+	levelDesc = desc("level", "Level of the cluster's stored state, "+
 		"and highest level that this controller's release supports.", "of")
 	rolloutDesc    = desc("rollout_state", "1 for the current state of the rollout by this controller's view.", "state")
 	migrationDesc  = desc("migration_left", "Records still stored in a former format. Only the leader exports it.")
@@ -125,6 +130,7 @@
 	collected.add(archivedDesc, float64(c.term.archiver.Stats.Moved))
 	c.addTaskMetrics(&collected)
 	c.addMachineMetrics(&collected)
+	addCommandMetrics(&collected, c.term.fleet.Counts())
 	c.addLicenceMetrics(&collected, now)
 	if c.term.sessions != nil {
 		for state, count := range c.term.sessions.CountByState() {
@@ -176,6 +182,15 @@
 	}
 }
 
+func addCommandMetrics(collected *samples, counts fleet.CommandCounts) {
+	collected.add(commandsDesc, float64(counts.Launches), "launch")
+	collected.add(commandsDesc, float64(counts.Stops), "stop")
+	collected.add(commandsDesc, float64(counts.Forgets), "forget")
+	collected.add(commandsDesc, float64(counts.Prompts), "prompt")
+	collected.add(unexpectedDesc, float64(counts.SecondMachine), "second_machine")
+	collected.add(unexpectedDesc, float64(counts.OtherAttempt), "other_attempt")
+}
+
 func (c *Controller) addMachineMetrics(collected *samples) {
 	countByCondition := map[fleet.Condition]int{}
 	var cores, coresUsed, gpus, gpusUsed float64
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -27,6 +27,7 @@
 	MachineStateChanged             // a machine's condition changed; the note has the new condition
 	ZoneStateChanged                // a zone's state changed; the note has the zone and its new state
 	RolloutStateChanged             // a rollout's state changed; the note has the new state and the reason
+	TaskOnSecondMachine             // the machine lists the task, which counts on another machine, which the note names
 )
 
 var kindNames = [...]string{
@@ -46,6 +47,7 @@
 	MachineStateChanged: "machine",
 	ZoneStateChanged:    "zone",
 	RolloutStateChanged: "rollout",
+	TaskOnSecondMachine: "task_second_machine",
 }
 
 // String returns the kind's name in the API.
--- a/internal/fleet/commands.go
+++ b/internal/fleet/commands.go
@@ -18,12 +18,12 @@
 		report := &heartbeat.Tasks[i]
 		if report.State == taskExited {
 			if mayForget(report) {
-				commands = append(commands, forgetCommand(report.Task, report.Attempt))
+				commands = append(commands, forgetCommand(report.Task, report.Attempt).because(causeExited))
 			}
 			continue
 		}
-		if graceS, mustStop := f.mustStop(now, machine, report); mustStop {
-			commands = append(commands, stopCommand(report.Task, report.Attempt, graceS))
+		if graceS, cause := f.mustStop(now, machine, report); cause != "" {
+			commands = append(commands, stopCommand(report.Task, report.Attempt, graceS).because(cause))
 		}
 	}
 	if machine.Condition == Ready {
@@ -53,7 +53,8 @@
 	sortRefs(refs)
 	for _, ref := range refs {
 		job := f.jobAt(ref.Job)
-		commands = append(commands, startCommand(taskName(job, ref.Task), job.Tasks[ref.Task].Attempt))
+		command := startCommand(taskName(job, ref.Task), job.Tasks[ref.Task].Attempt)
+		commands = append(commands, command.because(causeNotListed))
 	}
 	return commands
 }
@@ -72,27 +73,28 @@
 	return job.Tasks != nil && job.IsDurablyDone(report.taskIndex)
 }
 
-// mustStop reports whether a live task must be stopped, and returns its grace period in seconds.
-func (f *Fleet) mustStop(now time.Duration, machine *Machine, report *TaskReport) (graceS float64, mustStop bool) {
+// mustStop returns the grace period in seconds and the cause with which a live task must be stopped. The cause is "" if
+// the task may continue.
+func (f *Fleet) mustStop(now time.Duration, machine *Machine, report *TaskReport) (graceS float64, cause commandCause) {
 	job := report.job
 	if job == nil || job.State.Terminal() || job.Tasks == nil {
-		return 0, true
+		return 0, causeJobEnded
 	}
 	task := &job.Tasks[report.taskIndex]
 	if task.State == jobs.Finished || task.Machine != machine.Index {
-		return 0, true
+		return 0, causeNotExpected
 	}
 	if report.State == taskSaving {
-		return 0, false
+		return 0, ""
 	}
 	if task.Stopping {
-		return saveGraceS(job), true
+		return saveGraceS(job), causeStopping
 	}
 	isReclaimed := machine.Condition == ReclaimNoticed && !machine.Returning
 	if isReclaimed && f.shouldStopBeforeReclaim(now, machine, job, report.taskIndex) {
-		return saveGraceS(job), true
+		return saveGraceS(job), causeReclaim
 	}
-	return 0, false
+	return 0, ""
 }
 
 // saveGraceS returns the grace period, in seconds, that lets a task save a checkpoint.
--- a/internal/fleet/dispatch.go
+++ b/internal/fleet/dispatch.go
@@ -92,7 +92,8 @@
 			graceS = 0
 		}
 		task.StopSentAt = now
-		commands = append(commands, stopCommand(taskName(job, ref.Task), task.Attempt, graceS))
+		command := stopCommand(taskName(job, ref.Task), task.Attempt, graceS)
+		commands = append(commands, command.because(causeStopping))
 	}
 	return commands
 }
@@ -103,6 +104,7 @@
 	machine.dispatchedAt = now
 	f.directRequests++
 	f.activity.directRequests++
+	f.recordCommands(machine, commands, inDirect)
 	request := directRequest{machine: machine, session: machine.Session, seq: machine.Seq}
 	message := DirectCommands{Token: machine.Token, Session: machine.Session, Commands: commands}
 	f.SendCommands(machine, message, func(heartbeat *Heartbeat) { f.handleDirectResponse(request, heartbeat) })
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -82,6 +82,7 @@
 	byName         map[string]*Machine
 	directRequests int // number of direct requests without a response yet
 	activity       activity
+	counts         CommandCounts
 
 	// The scheduling cycle.
 	ranking       ranking
--- a/internal/fleet/guards_test.go
+++ b/internal/fleet/guards_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/harewalk/harewalk/internal/events"
 	"github.com/harewalk/harewalk/internal/jobs"
 	"github.com/harewalk/harewalk/internal/store"
 )
@@ -201,11 +202,65 @@
 		}
 	}
 	commands := g.heartbeat("m", 1, fenced, failed)
-	if !slices.ContainsFunc(commands, func(c Command) bool { return c == forgetCommand(failed.Task, failed.Attempt) }) {
+	forgets := func(c Command) bool { return c == forgetCommand(failed.Task, failed.Attempt).because(causeExited) }
+	if !slices.ContainsFunc(commands, forgets) {
 		t.Fatalf("response to the worker's own heartbeat: got commands %v, want the attempt forgotten", commands)
 	}
 }
 
+// A task that heartbeats list on a second machine must be counted and reported once, with both machines, and be stopped.
+func TestTaskOnSecondMachineIsReportedOnce(t *testing.T) {
+	g, job := newRigWithLaunch(t)
+	g.Events = events.New(100)
+	running := TaskReport{Task: taskName(job, 0), Attempt: job.Tasks[0].Attempt, State: taskRunning}
+	g.heartbeat("m", 1, fenced, running)
+	second := running
+	second.Attempt--
+	for range 3 {
+		commands := g.heartbeat("n", 1, fenced, second)
+		if len(commands) != 1 || commands[0].Op != opStop || commands[0].cause != causeNotExpected {
+			t.Fatalf("got commands %v, want one stop", commands)
+		}
+	}
+	var reported []events.Event
+	g.Events.Since(0, func(event *events.Event) bool {
+		if event.Kind == events.TaskOnSecondMachine {
+			reported = append(reported, *event)
+		}
+		return true
+	})
+	if g.Counts().SecondMachine != 1 || len(reported) != 1 {
+		t.Fatalf("got count %d, events %v, want 1 and one event", g.Counts().SecondMachine, reported)
+	}
+	if event := reported[0]; event.Machine != g.FindMachine("n").Index || event.Note != "m" || event.Attempt != second.Attempt {
+		t.Errorf("got event %+v, want machine n, note m and attempt %d", event, second.Attempt)
+	}
+	g.heartbeat("n", 1, fenced)
+	if g.heartbeat("n", 1, fenced, second); g.Counts().SecondMachine != 2 {
+		t.Errorf("listed again after a heartbeat without it: got count %d, want 2", g.Counts().SecondMachine)
+	}
+}
+
+// The commands of a term are counted by kind.
+func TestCommandsAreCounted(t *testing.T) {
+	g := newRig(t, 1, map[string]json.RawMessage{})
+	g.heartbeat("m", 1, fenced)
+	job := g.submit(spec(1, 1))
+	g.settle(store.Committed)
+	g.keepInContact()
+	g.Tick(g.now, true)
+	g.heartbeat("m", 1, fenced)
+	g.cancel(job)
+	running := TaskReport{Task: taskName(job, 0), Attempt: job.Tasks[0].Attempt, State: taskRunning}
+	g.heartbeat("m", 1, fenced, running)
+	running.State, running.ExitCause = taskExited, exitStopped
+	g.heartbeat("m", 1, fenced, running)
+	want := CommandCounts{Launches: 1, Stops: 1, Forgets: 1, Prompts: 1}
+	if got := g.Counts(); got != want {
+		t.Errorf("got counts %+v, want %+v", got, want)
+	}
+}
+
 // The lease of a session counts from the session's beginning, not from the last response in the session before.
 func TestLeaseOfANewSessionCountsFromItsBeginning(t *testing.T) {
 	g := newRig(t, 1, map[string]json.RawMessage{})
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -38,7 +38,9 @@
 	f.activity.heartbeats++
 	machine, result := f.acceptHeartbeat(now, heartbeat, fromRequest)
 	if result == Stale && f.challengeStale(now, machine, heartbeat) {
-		return HeartbeatResponse{Token: machine.Token, Commands: f.stopCancelled(heartbeat)}, Accepted
+		response := HeartbeatResponse{Token: machine.Token, Commands: f.stopCancelled(heartbeat)}
+		f.recordCommands(machine, response.Commands, inResponse)
+		return response, Accepted
 	}
 	if result != Accepted {
 		return HeartbeatResponse{}, result
@@ -46,6 +48,7 @@
 	machine.LeaseRenewedAt = now
 	response := f.buildResponse(now, machine, heartbeat)
 	machine.recordResponse(now, heartbeat, response)
+	f.recordCommands(machine, response.Commands, inResponse)
 	return response, Accepted
 }
 
@@ -75,7 +78,7 @@
 		report := &heartbeat.Tasks[i]
 		job, _ := f.findTask(report.Task)
 		if job != nil && job.State == jobs.Cancelled && report.State != taskExited {
-			commands = append(commands, stopCommand(report.Task, report.Attempt, 0))
+			commands = append(commands, stopCommand(report.Task, report.Attempt, 0).because(causeJobEnded))
 		}
 	}
 	return commands
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -111,6 +111,9 @@
 	fencing        bool          // the token was raised and no heartbeat has carried it yet
 	reachability   reachability
 
+	// The attempts that the last two heartbeats listed unexpectedly, see commandlog.go.
+	unexpected, formerUnexpected []unexpectedAttempt
+
 	// Capacity that is kept free here for waiting work.
 	keepsCPUsForGPUWork bool         // processors beside its accelerators are kept for GPU work
 	reserved            planner.Size // reservation for a waiting gang
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -88,6 +88,28 @@
 	Task    string
 	Attempt uint64
 	GraceS  float64 // seconds in which a stopped task may save a checkpoint before it is killed
+
+	cause commandCause // for the log; it is not part of the message
+}
+
+// commandCause is the reason why a command is sent, as the log gives it.
+type commandCause string
+
+const (
+	causeStart       commandCause = "start"        // launch: the task's plan is durable and it has room
+	causeNotListed   commandCause = "not listed"   // launch: sent or decided before, and the heartbeat lacks it
+	causePrompt      commandCause = "prompt"       // launch of promptTask
+	causeExited      commandCause = "exited"       // forget: the attempt's outcome is durable
+	causeJobEnded    commandCause = "job ended"    // stop: the job has ended or does not exist
+	causeNotExpected commandCause = "not expected" // stop: the task is done or counts on another machine
+	causeStopping    commandCause = "stopping"     // stop: the task is marked to be stopped
+	causeReclaim     commandCause = "reclaim"      // stop: the cloud is about to reclaim the machine
+)
+
+// because returns the command with a cause.
+func (c Command) because(cause commandCause) Command {
+	c.cause = cause
+	return c
 }
 
 // Operation is the operation of a command. Its value is the operation's name in the protocol.
@@ -111,7 +133,9 @@
 // promptCommand returns a command that makes a worker send a heartbeat early. The worker refuses to launch a task that
 // does not exist, lists the refused attempt, and sends a heartbeat because its list has changed. Executing the command
 // again has no other effect.
-func promptCommand(attempt uint64) Command { return startCommand(promptTask, attempt) }
+func promptCommand(attempt uint64) Command {
+	return startCommand(promptTask, attempt).because(causePrompt)
+}
 
 // stopCommand returns the command that stops an attempt at a task, with a grace period in seconds.
 func stopCommand(task string, attempt uint64, graceS float64) Command {
--- a/internal/fleet/reconcile.go
+++ b/internal/fleet/reconcile.go
@@ -26,6 +26,7 @@
 // updates the states of both. It leaves the listed live tasks in scratch.listedTasks for buildCommands.
 func (f *Fleet) reconcileTasks(now time.Duration, machine *Machine, heartbeat *Heartbeat, origin heartbeatOrigin) {
 	f.resolveTaskReports(heartbeat)
+	machine.beginUnexpected()
 	for i := range heartbeat.Tasks {
 		report := &heartbeat.Tasks[i]
 		switch {
@@ -91,10 +92,12 @@
 		return // buildCommands stops the attempt
 	}
 	if task.State.Occupies() && task.Machine != machine.Index {
-		slog.Error("task listed by a machine that it was not sent to", "task", report.Task, "machine", machine.Name,
-			"expected_machine", f.machines[task.Machine].Name, "term", f.Term)
+		f.recordSecondMachine(now, machine, report)
 		return
 	}
+	if task.State != jobs.Recovered && task.Attempt != report.Attempt {
+		f.recordOtherAttempt(machine, report)
+	}
 	if task.State == jobs.Planned {
 		f.dequeue(job, taskIndex)
 		if task.Machine != machine.Index {
--- a/internal/fleet/recovery.go
+++ b/internal/fleet/recovery.go
@@ -44,7 +44,15 @@
 	f.plansLoaded = true
 	f.RankJobs(now)
 	slog.Info("plans loaded",
-		"term", f.Term, "keys", len(items), "jobs", len(f.ranking.jobs), "machines", len(f.machines))
+		"term", f.Term, "keys", len(items), "newest_version", newestVersion(items), "jobs", len(f.ranking.jobs), "machines", len(f.machines))
+}
+
+// newestVersion returns the highest version of the items, 0 if there are none.
+func newestVersion(items []store.Item) (newest uint64) {
+	for i := range items {
+		newest = max(newest, items[i].Version)
+	}
+	return newest
 }
 
 // finishRecoveredGang finishes a gang if its stored plan says that one of its tasks is done.
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -164,7 +164,7 @@
 	}
 	job.Started = true
 	f.setOnMachine(now, job, taskIndex, jobs.Launched)
-	return startCommand(taskName(job, taskIndex), attempt)
+	return startCommand(taskName(job, taskIndex), attempt).because(causeStart)
 }
 
 // appendStarts launches the queued tasks that fit a machine now, in priority order, and appends their start commands.
