--- a/internal/simulator/fault_kinds.go
+++ b/internal/simulator/fault_kinds.go
@@ -118,6 +118,9 @@
 	"repeat-orders": {args: "t", apply: toggledFault(func(sim *Simulation, on bool) {
 		sim.RepeatCommands(shareIf(on, repeatedShare), minRepeatDelay, sim.leaseFraction(maxRepeatLeases))
 	})},
+	"repeat-requests": {args: "t", apply: toggledFault(func(sim *Simulation, on bool) {
+		sim.RepeatServiceRequests(shareIf(on, repeatedShare), minRepeatDelay, sim.leaseFraction(maxRepeatLeases))
+	})},
 	"replay-orders": {args: "t", apply: toggledFault((*Simulation).RepeatCommandsAtWorstTime)},
 	"hold-answers":  {args: "t", apply: delayFault((*Simulation).DelayHeartbeatAnswers, 1./50, 2./3)},
 	"slow-links": {args: "t", virtualTimeOnly: true, apply: toggledFault(func(sim *Simulation, on bool) {
--- a/internal/simulator/fault_pairs_test.go
+++ b/internal/simulator/fault_pairs_test.go
@@ -177,7 +177,8 @@
 }
 
 // selectFaultRuns returns one run for a fixed twelfth of the pairs of the scripts' faults. If HAREWALK_PAIRS is set, it
-// returns runs of all pairs, with that number of seeds each. HAREWALK_PAIRS_FROM sets the first seed.
+// returns runs of all pairs, with that number of seeds each. HAREWALK_PAIRS_FROM sets the first seed. HAREWALK_PAIRS_OF
+// selects the pairs that contain the fault with this name.
 func selectFaultRuns() []faultRun {
 	seeds, share, first := 1, 12, 0
 	if s := os.Getenv("HAREWALK_PAIRS"); s != "" {
@@ -187,13 +188,16 @@
 	if s := os.Getenv("HAREWALK_PAIRS_FROM"); s != "" {
 		first, _ = strconv.Atoi(s)
 	}
+	selected := os.Getenv("HAREWALK_PAIRS_OF")
 	faultNames := slices.Sorted(maps.Keys(faultKinds))
 	var runs []faultRun
 	pair := 0
 	for i, a := range faultNames {
 		for _, b := range faultNames[i:] {
 			for seed := range seeds {
-				if pair++; pair%share == 0 {
+				pair++
+				isSelected := selected == "" || selected == a || selected == b
+				if isSelected && pair%share == 0 {
 					runs = append(runs, drawFaultRun(a, b, uint64(1000*pair+first+seed)))
 				}
 			}
--- a/internal/simulator/measurements.go
+++ b/internal/simulator/measurements.go
@@ -34,6 +34,9 @@
 	// them that the worker executed, and RepeatedLaunches the tasks that these launched and the worker
 	// did not refuse.
 	CommandsRepeated, RepeatsExecuted, RepeatedLaunches int
+	// ServiceRequestsRepeated counts the requests to the state service and the cloud that were delivered again after
+	// their answer.
+	ServiceRequestsRepeated int
 	// LateWrites counts the transactions that were applied late without an answer, LostAnswers the transactions that
 	// were applied immediately without an answer.
 	LateWrites, LostAnswers int
--- a/internal/simulator/repeated_commands.go
+++ b/internal/simulator/repeated_commands.go
@@ -27,11 +27,14 @@
 
 // repeatedCommands is the fault that delivers direct requests to machines again after they were executed and answered.
 type repeatedCommands struct {
-	rng         *rand.Rand
-	share       float64 // share of requests that are repeated at drawn times
-	delay       delayRange
-	keep        bool // answered requests are kept for RepeatOldestCommands
-	atWorstTime bool
+	rng   *rand.Rand
+	share float64 // share of requests that are repeated at drawn times
+	delay delayRange
+	// serviceShare and serviceDelay are those of RepeatServiceRequests.
+	serviceShare float64
+	serviceDelay delayRange
+	keep         bool // answered requests are kept for RepeatOldestCommands
+	atWorstTime  bool
 }
 
 // answeredCommands is a direct request that a worker has executed and answered.
--- a/internal/simulator/repeated_commands_test.go
+++ b/internal/simulator/repeated_commands_test.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"os"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +16,7 @@
 	name               string
 	restartMachines    bool
 	restartControllers bool
+	repeatAll          bool // messages of users, workers and controllers to any service are delivered again as well
 }
 
 // repeatRunTime is the time for which faults are injected into a repeatRun.
@@ -33,6 +36,10 @@
 	rng := rand.New(rand.NewPCG(seed, 53))
 	sim.RepeatCommandsAtWorstTime(true)
 	sim.RepeatCommands(repeatedShare, minRepeatDelay, sim.leaseFraction(maxRepeatLeases))
+	if run.repeatAll {
+		sim.DuplicateMessages(duplicateShare, minDuplicateAge, sim.leaseFraction(maxRepeatLeases))
+		sim.RepeatServiceRequests(repeatedShare, minRepeatDelay, sim.leaseFraction(maxRepeatLeases))
+	}
 	users := sim.scheduleChaosUsers(rng, 60, repeatRunTime)
 	sim.watchActingLeaders()
 	for at := 8 * time.Second; at < repeatRunTime; at += time.Duration(2000+rng.IntN(6000)) * time.Millisecond {
@@ -44,12 +51,29 @@
 	if violations := sim.Violations(); len(violations) > 0 {
 		t.Errorf("seed %d: %d violations, the first: %s", seed, len(violations), violations[0])
 	}
+	run.checkRepeatedWrites(t, seed, sim)
 	for _, unfinished := range unfinishedJobs(users) {
 		t.Errorf("seed %d: %s", seed, unfinished)
 	}
 	return sim.Stats()
 }
 
+// repeatableWrites are the prefixes of the keys that a repeated transaction may write: the image hints, which decide
+// nothing, and the migration's progress, which is derived again.
+var repeatableWrites = []string{"p/images", "h/r/migration"}
+
+// checkRepeatedWrites checks that repeated transactions have changed no other keys than the repeatable ones.
+func (run repeatRun) checkRepeatedWrites(t *testing.T, seed uint64, sim *Simulation) {
+	t.Helper()
+	for _, key := range sim.RepeatedWrites() {
+		isRepeatable := func(prefix string) bool { return strings.HasPrefix(key, prefix) }
+		if !slices.ContainsFunc(repeatableWrites, isRepeatable) {
+			t.Errorf("seed %d: a repeated transaction wrote %s", seed, key)
+			return
+		}
+	}
+}
+
 // injectFault makes a machine faulty for a time, or restarts a machine or a controller within a second.
 func (run repeatRun) injectFault(sim *Simulation, rng *rand.Rand) {
 	soon := time.Duration(50+rng.IntN(850)) * time.Millisecond
@@ -87,19 +111,22 @@
 		{name: "machines restart", restartMachines: true},
 		{name: "controllers restart", restartControllers: true},
 		{name: "both restart", restartMachines: true, restartControllers: true},
+		{name: "all messages repeated", restartMachines: true, restartControllers: true, repeatAll: true},
 	} {
 		t.Run(run.name, func(t *testing.T) {
 			t.Parallel()
-			var repeated, executed, launched int
+			var total Stats
 			for seed := range repeatSeeds() {
 				stats := run.play(t, seed+1)
-				repeated += stats.CommandsRepeated
-				executed += stats.RepeatsExecuted
-				launched += stats.RepeatedLaunches
+				total.CommandsRepeated += stats.CommandsRepeated
+				total.RepeatsExecuted += stats.RepeatsExecuted
+				total.RepeatedLaunches += stats.RepeatedLaunches
+				total.ServiceRequestsRepeated += stats.ServiceRequestsRepeated
 			}
-			t.Logf("%d requests repeated, %d executed, %d tasks launched by them", repeated, executed, launched)
-			if repeated < 25 {
-				t.Errorf("%d requests repeated, want at least 25", repeated)
+			t.Logf("%d direct requests repeated, %d executed, %d tasks launched by them; %d other requests repeated",
+				total.CommandsRepeated, total.RepeatsExecuted, total.RepeatedLaunches, total.ServiceRequestsRepeated)
+			if total.CommandsRepeated < 25 || run.repeatAll && total.ServiceRequestsRepeated < 1000 {
+				t.Error("want at least 25 direct requests repeated and, if all messages are, 1000 others")
 			}
 		})
 	}
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -61,6 +61,8 @@
 	startTimes  []time.Duration                // start times of all tasks, in order
 	cancelledAt map[string]time.Duration       // time at which a user received the job's cancellation, by job
 	pipelines   pipelineRecords
+	// repeatedWrites are the keys that repeated transactions have changed.
+	repeatedWrites []string
 }
 
 // progress is the part of a task's state that outlives its machine.
@@ -143,7 +145,11 @@
 
 // listen opens the addresses of all services and builds the controllers' settings.
 func (sim *Simulation) listen() error {
-	cloudAddr, err := sim.env.listen("cloud", "", synchronousHandler(sim.serveCloud))
+	cloudAddr, err := sim.env.listen("cloud", "", func(request httpRequest, reply replyFunc) {
+		status, body := sim.serveCloud(request)
+		sim.repeatCloudRequest(request, status)
+		reply(status, body)
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/simulator/state_service.go
+++ b/internal/simulator/state_service.go
@@ -143,6 +143,7 @@
 	}
 	sim.mu.Lock()
 	status, body := sim.applyStateRequest(controller, request)
+	sim.repeatStateRequest(controller, request, status)
 	sim.mu.Unlock()
 	reply(status, body)
 }
