--- a/internal/capacity/health.go
+++ b/internal/capacity/health.go
@@ -153,6 +153,7 @@
 func (m *Manager) isSurplus(now time.Duration, machine *fleet.Machine) bool {
 	return isIdle(machine) &&
 		now-machine.IdleSince > m.idleLimit(machine) &&
+		!m.isAwaited(now, machine) &&
 		m.idleExceedsHeadroom() &&
 		!m.Zones.HasRecoveringZones()
 }
--- a/internal/capacity/manager.go
+++ b/internal/capacity/manager.go
@@ -58,6 +58,9 @@
 	toReturn        map[string]returnCause   // cause of each machine marked for return, by name
 	returnedAt      map[string]time.Duration // time at which the cloud confirmed the return, by machine name
 	idleLimitFactor float64                  // last result of the function idleLimitFactor
+	// awaitedInZone holds the time at which a job that must stay in one zone last counted on a machine, by the machine's
+	// index.
+	awaitedInZone map[int32]time.Duration
 }
 
 // New returns the manager of a term. It sets the fleet's ZoneAcceptsWork, so that the zones' state decides which zones
@@ -83,6 +86,7 @@
 		machinesByZone: map[int32]int{},
 		toReturn:       map[string]returnCause{},
 		returnedAt:     map[string]time.Duration{},
+		awaitedInZone:  map[int32]time.Duration{},
 	}
 	zoneSettings := settings.Zones()
 	m.Zones = zones.New(zones.Config{
--- a/internal/capacity/offer.go
+++ b/internal/capacity/offer.go
@@ -61,11 +61,22 @@
 const zonePenalty = 1e-6
 
 // chooseOffer returns the offer with the lowest price for one task of a job. It considers the offers that the job, its
-// zone limit and the zones' state allow and that aren't in the backoff after a refusal. The price for a task is the
+// zone limit and the zones' state allow and that aren't in the backoff after a refusal, in one zone unless onlyZone is
+// jobs.None. The price for a task is the
 // price of the machine divided by the number of tasks that fit on it, so that a machine with GPUs isn't chosen for a
 // task without GPUs.
-func (m *Manager) chooseOffer(now time.Duration, job *jobs.Job, spread zoneSpread) (best offer, found bool) {
-	bestPrice := math.Inf(1)
+func (m *Manager) chooseOffer(
+	now time.Duration, job *jobs.Job, spread zoneSpread, onlyZone int32,
+) (best offer, found bool) {
+	best, price := m.cheapestOffer(now, job, spread, onlyZone)
+	return best, !math.IsInf(price, 1)
+}
+
+// cheapestOffer returns the offer of chooseOffer and its price for one task, which is infinite if there is no offer.
+func (m *Manager) cheapestOffer(
+	now time.Duration, job *jobs.Job, spread zoneSpread, onlyZone int32,
+) (best offer, bestPrice float64) {
+	bestPrice = math.Inf(1)
 	for _, machineType := range m.Types() {
 		tasks := job.Spec.Size().FitCount(machineType.Size())
 		if tasks <= 0 {
@@ -74,7 +85,8 @@
 		typeIndex := m.Names.Types.Index(machineType.Name)
 		for _, zoneName := range machineType.Zones {
 			zone := m.Names.Zones.Index(zoneName)
-			if spread.isFull(zone) || !m.Zones.AllowsRenting(zone) {
+			isOther := onlyZone != jobs.None && zone != onlyZone
+			if isOther || spread.isFull(zone) || !m.Zones.AllowsRenting(zone) {
 				continue
 			}
 			for _, isSpot := range [...]bool{true, false} {
@@ -87,10 +99,9 @@
 				if taskPrice < bestPrice {
 					best = o
 					bestPrice = taskPrice
-					found = true
 				}
 			}
 		}
 	}
-	return best, found
+	return best, bestPrice
 }
--- a/internal/capacity/scaleout.go
+++ b/internal/capacity/scaleout.go
@@ -30,7 +30,8 @@
 // capacityBin is a machine, present, booting or to be rented, with the work that it can still do within the horizon.
 type capacityBin struct {
 	offer
-	free planner.Size // resource-seconds
+	free    planner.Size   // resource-seconds
+	machine *fleet.Machine // nil unless the machine is present
 }
 
 // scaleOutPlan packs the waiting work, in resource-seconds, into the present and booting machines within a horizon. It
@@ -62,6 +63,7 @@
 func (m *Manager) planScaleOut(now time.Duration) *scaleOutPlan {
 	plan := &scaleOutPlan{manager: m, now: now, horizonS: m.planningHorizonS(), toRent: map[offer]int{}}
 	clear(m.machinesByZone)
+	m.forgetAwaited(now)
 	plan.addMachines()
 	plan.addBoots()
 	m.updateAtLimit(plan.machines)
@@ -96,7 +98,7 @@
 			continue
 		}
 		o := offer{typeIndex: machine.Type, zone: machine.Zone, isSpot: machine.Spot}
-		bin := &capacityBin{offer: o, free: machine.Capacity.Scale(p.horizonS)}
+		bin := &capacityBin{offer: o, free: machine.Capacity.Scale(p.horizonS), machine: machine}
 		for _, work := range m.Fleet.ExpectedWork(p.now, machine) {
 			bin.free = bin.free.Sub(work.Size.Scale(min(work.Remaining, p.horizonS)))
 		}
@@ -137,39 +139,64 @@
 		secondsPerTask = p.horizonS
 	}
 	taskWork := demand.Job.Spec.Size().Scale(secondsPerTask)
-	spread := p.manager.zoneSpread(demand.Job)
-	remaining := p.packBins(demand.Job, demand.Tasks, taskWork, spread)
-	p.packNewMachines(demand.Job, remaining, taskWork, spread)
+	unplaced := waitingTasks{
+		job:      demand.Job,
+		count:    demand.Tasks,
+		taskWork: taskWork,
+		spread:   p.manager.zoneSpread(demand.Job),
+		zone:     jobs.None,
+	}
+	if demand.Job.Spec.OneZone && demand.Job.TaskCount > 1 && !p.chooseZone(&unplaced) {
+		return
+	}
+	p.packBins(&unplaced)
+	p.packNewMachines(&unplaced)
+}
+
+// waitingTasks are the tasks of a need that have no place in the plan yet.
+type waitingTasks struct {
+	job      *jobs.Job
+	count    int
+	taskWork planner.Size // work of one task, in resource-seconds
+	spread   zoneSpread
+	zone     int32 // the only zone for the tasks; jobs.None: any zone
 }
 
-// packBins places tasks on the planned machines and returns how many tasks remain. taskWork is the work of one task, in
-// resource-seconds.
-func (p *scaleOutPlan) packBins(job *jobs.Job, tasks int, taskWork planner.Size, spread zoneSpread) (remaining int) {
-	remaining = tasks
+// allows reports whether tasks may be placed on a machine of an offer.
+func (w *waitingTasks) allows(o offer) bool {
+	return (w.zone == jobs.None || w.zone == o.zone) && o.allowedFor(w.job) && !w.spread.isFull(o.zone)
+}
+
+// packBins places tasks on the planned machines.
+func (p *scaleOutPlan) packBins(unplaced *waitingTasks) {
 	for _, bin := range p.bins {
-		if remaining == 0 {
-			break
+		if unplaced.count == 0 {
+			return
+		}
+		if !unplaced.taskWork.Fits(bin.free) || !unplaced.allows(bin.offer) {
+			continue
 		}
-		if taskWork.Fits(bin.free) && bin.allowedFor(job) && !spread.isFull(bin.zone) {
-			remaining -= bin.place(remaining, taskWork, spread)
+		placed := bin.place(unplaced.count, unplaced.taskWork, unplaced.spread)
+		unplaced.count -= placed
+		if placed > 0 && bin.machine != nil && unplaced.zone != jobs.None {
+			p.manager.awaitedInZone[bin.machine.Index] = p.now
 		}
 	}
-	return remaining
 }
 
 // packNewMachines adds machines for tasks, up to max_machines. It stops if no offer is suitable.
-func (p *scaleOutPlan) packNewMachines(job *jobs.Job, tasks int, taskWork planner.Size, spread zoneSpread) {
+func (p *scaleOutPlan) packNewMachines(unplaced *waitingTasks) {
 	m := p.manager
-	for remaining := tasks; remaining > 0 && p.machines < m.Settings.Operator.MaxMachines; {
-		o, found := m.chooseOffer(p.now, job, spread)
+	for unplaced.count > 0 && p.machines < m.Settings.Operator.MaxMachines {
+		o, found := m.chooseOffer(p.now, unplaced.job, unplaced.spread, unplaced.zone)
 		if !found {
 			return
 		}
 		bin := &capacityBin{offer: o, free: m.machineType(o.typeIndex).Size().Scale(p.horizonS)}
-		if taskWork.FitCount(bin.free) <= 0 {
+		if unplaced.taskWork.FitCount(bin.free) <= 0 {
 			return
 		}
-		remaining -= bin.place(remaining, taskWork, spread)
+		unplaced.count -= bin.place(unplaced.count, unplaced.taskWork, unplaced.spread)
 		p.machines++
 		p.bins = append(p.bins, bin)
 		p.toRent[o]++
@@ -230,7 +257,7 @@
 	budget := m.Settings.Operator.Headroom * cost.total
 	unused := budget - cost.idle
 	for _, job := range m.Fleet.JobPerClass() {
-		o, found := m.chooseOffer(now, job, zoneSpread{})
+		o, found := m.chooseOffer(now, job, zoneSpread{}, jobs.None)
 		if !found {
 			continue
 		}
