--- a/internal/fleet/commands.go
+++ b/internal/fleet/commands.go
@@ -33,7 +33,11 @@
 		commands = f.appendStarts(commands, now, machine)
 	}
 	f.scratch.commands = commands
-	return slices.Clone(commands)
+	sent := limitCommands(commands)
+	if len(sent) < len(commands) {
+		machine.hasLaunches = true // the next heartbeat is prompted for the others
+	}
+	return slices.Clone(sent)
 }
 
 // appendRepeatedLaunches appends the launches that dispatch made or an earlier response sent, and whose tasks the
--- a/internal/fleet/dispatch.go
+++ b/internal/fleet/dispatch.go
@@ -47,7 +47,7 @@
 			commands = append(commands, promptCommand(f.nextAttempt()))
 		}
 		if len(commands) > 0 {
-			f.sendDirect(now, machine, commands)
+			f.sendDirect(now, machine, limitCommands(commands))
 		}
 	}
 }
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -81,7 +81,7 @@
 			commands = append(commands, stopCommand(report.Task, report.Attempt, 0).because(causeJobEnded))
 		}
 	}
-	return commands
+	return limitCommands(commands)
 }
 
 // acceptHeartbeat updates the state of a heartbeat's machine, and returns the machine; nil if the result is Deposed.
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -111,6 +111,8 @@
 	fencing        bool          // the token was raised and no heartbeat has carried it yet
 	reachability   reachability
 
+	exitedListed int // number of exited tasks that the last heartbeat listed
+
 	// The attempts that the last two heartbeats listed unexpectedly, see commandlog.go.
 	unexpected, formerUnexpected []unexpectedAttempt
 
--- a/internal/fleet/reconcile.go
+++ b/internal/fleet/reconcile.go
@@ -27,8 +27,12 @@
 func (f *Fleet) reconcileTasks(now time.Duration, machine *Machine, heartbeat *Heartbeat, origin heartbeatOrigin) {
 	f.resolveTaskReports(heartbeat)
 	machine.beginUnexpected()
+	machine.exitedListed = 0
 	for i := range heartbeat.Tasks {
 		report := &heartbeat.Tasks[i]
+		if report.State == taskExited {
+			machine.exitedListed++
+		}
 		switch {
 		case report.job == nil || report.job.Tasks == nil:
 		case report.State == taskExited:
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -136,7 +136,7 @@
 	if task.State != jobs.Planned || task.Machine != machine.Index || task.NotBefore > now {
 		return false
 	}
-	if !job.IsDurable(taskIndex) || !f.mayPlace(machine, job) || !f.fits(machine, job) {
+	if !machine.hasListRoom() || !job.IsDurable(taskIndex) || !f.mayPlace(machine, job) || !f.fits(machine, job) {
 		return false
 	}
 	return f.Gate.Reserved(licenceRef(job, taskIndex)) || f.Gate.Fits(admissionClaim(job), 1)
@@ -172,7 +172,7 @@
 	if f.startsStopped || machine.Condition != Ready || machine.Returning {
 		return commands
 	}
-	if machine.QueuedTasks == 0 || !machine.smallestQueued.Fits(machine.Free()) {
+	if machine.QueuedTasks == 0 || !machine.hasListRoom() || !machine.smallestQueued.Fits(machine.Free()) {
 		return commands
 	}
 	indices := f.scratch.jobIndices[:0]
@@ -201,7 +201,7 @@
 	queued := machine.queued(job.Index)
 	remaining := queued[:0]
 	for i, taskIndex := range queued {
-		if !f.fits(machine, job) {
+		if !machine.hasListRoom() || !f.fits(machine, job) {
 			remaining = append(remaining, queued[i:]...)
 			break
 		}
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -88,6 +88,12 @@
 	maxIDDigits = 18
 )
 
+// maxTaskNumberDigits is the number of digits of the highest task number, MaxTasks - 1.
+const maxTaskNumberDigits = 5
+
+// MaxTaskNameBytes is the length of the longest name of a task, a job's id and a task number.
+const MaxTaskNameBytes = len(idPrefix) + maxIDDigits + len("/") + maxTaskNumberDigits
+
 var idPattern = regexp.MustCompile(fmt.Sprintf(`^%s[0-9]{1,%d}$`, idPrefix, maxIDDigits))
 
 // ValidID reports whether a job id has the protocol's form.
