--- a/internal/fleet/backfill.go
+++ b/internal/fleet/backfill.go
@@ -44,6 +44,8 @@
 	roomByRequest := map[roomRequest]bool{}
 	for _, job := range f.ranking.jobs {
 		switch {
+		case job.TasksOnMachines() > 0 && job.RunningTasks == 0:
+			// A start that is undone before any task runs does not end the wait.
 		case !f.waitsForRoom(job) || !f.hasRoom(job, roomByRequest):
 			job.StartableSince = 0
 		case job.StartableSince == 0:
@@ -120,6 +122,39 @@
 // ignores all reservations except firm ones.
 func (f *Fleet) isStarving(job *jobs.Job) bool { return f.starvedFor(job) > starvingAfter }
 
+// reservedFrom returns the room on a machine that a reservation keeps a job from using. Tasks that use reserved room
+// count against the reservation: the room beside it is the same as before they started.
+func (f *Fleet) reservedFrom(machine *Machine, job *jobs.Job) planner.Size {
+	if machine.reserved == (planner.Size{}) || !f.isReservedFrom(machine, job) {
+		return planner.Size{}
+	}
+	return machine.reserved.Sub(machine.borrowed).NotNegative()
+}
+
+// recordBorrower records that a task that was just launched may use room that is reserved for a job of higher rank.
+func (f *Fleet) recordBorrower(machine *Machine, job *jobs.Job, taskIndex int32) {
+	if machine.reserved == (planner.Size{}) || machine.reservedRank >= f.rankOf(job) || !f.isStarving(job) {
+		return
+	}
+	if machine.borrowers == nil {
+		machine.borrowers = map[TaskRef]struct{}{}
+	}
+	machine.borrowers[TaskRef{job.Index, taskIndex}] = struct{}{}
+	machine.borrowed = machine.borrowed.Add(job.Spec.Size())
+}
+
+// removeBorrower records that a task no longer counts as on a machine.
+func (m *Machine) removeBorrower(ref TaskRef, size planner.Size) {
+	if _, isBorrower := m.borrowers[ref]; !isBorrower {
+		return
+	}
+	delete(m.borrowers, ref)
+	m.borrowed = m.borrowed.Sub(size)
+	if len(m.borrowers) == 0 {
+		m.borrowed = planner.Size{} // clears rounding errors
+	}
+}
+
 // isReservedFrom reports whether the reservation on a machine keeps a job from using the reserved room.
 func (f *Fleet) isReservedFrom(machine *Machine, job *jobs.Job) bool {
 	if machine.reservedRank >= f.rankOf(job) {
--- a/internal/fleet/backfill_test.go
+++ b/internal/fleet/backfill_test.go
@@ -1,10 +1,14 @@
 package fleet
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
+	"github.com/harewalk/harewalk/internal/config"
 	"github.com/harewalk/harewalk/internal/jobs"
+	"github.com/harewalk/harewalk/internal/licences"
+	"github.com/harewalk/harewalk/internal/planner"
 	"github.com/harewalk/harewalk/internal/store"
 )
 
@@ -116,3 +120,62 @@
 		})
 	}
 }
+
+// A starving job's task in reserved room must leave the room beside the reservation as it was, and its end must free the
+// reserved room again.
+func TestTaskInReservedRoomCountsAgainstTheReservation(t *testing.T) {
+	g := newRigOf(t, 1, map[string]json.RawMessage{}, []config.Team{{Name: "t"}})
+	g.heartbeat("m", 1, fenced)
+	machine := g.machines[0]
+	wide := spec(1, 8)
+	wide.CPUs = 2
+	sweep := g.submit(wide)
+	small := spec(2, 1)
+	small.Priority = "best_effort"
+	small.CPUs = 2
+	waiting := g.submit(small)
+	g.RankJobs(g.now)
+	machine.reserved = planner.Size{CPUs: 3, Mem: 3}
+	machine.reservedRank = -1
+	before := machine.Free().Sub(g.reservedFrom(machine, sweep))
+	g.now += starvingAfter + time.Minute
+	waiting.StartableSince = time.Second
+	waiting.Tasks[0].Machine = machine.Index
+	g.checkTransition(waiting.SetTaskState(0, jobs.Planned))
+	g.launch(g.now, machine, waiting, 0, 7)
+	if after := machine.Free().Sub(g.reservedFrom(machine, sweep)); after != before {
+		t.Errorf("got room %v beside the reservation after the launch, want %v as before", after, before)
+	}
+	g.checkTransition(waiting.SetTaskState(0, jobs.OnMachine))
+	sweep.Priority = waiting.Priority + 1
+	if refs, _, ok := g.victims(g.now, machine, sweep); ok || len(refs) > 0 {
+		t.Errorf("got victims %v for a job that may not use the reserved room, want none", refs)
+	}
+	g.release(g.now, waiting, 0, jobs.Unplanned, licences.CleanExit)
+	if room := machine.Free().Sub(g.reservedFrom(machine, sweep)); room != before || machine.borrowed != (planner.Size{}) {
+		t.Errorf("got room %v, borrowed %v after the end, want %v, none", room, machine.borrowed, before)
+	}
+}
+
+// A start that is undone before its task runs must not reset the time for which its job has waited beside room.
+func TestUndoneStartDoesNotResetTheWait(t *testing.T) {
+	g := newRig(t, 1, map[string]json.RawMessage{})
+	g.heartbeat("m", 1, fenced)
+	job := g.submit(spec(1, 1))
+	g.settle(store.Committed)
+	job.StartableSince = time.Millisecond
+	commands := starts(g.heartbeat("m", 1, fenced))
+	if len(commands) != 1 {
+		t.Fatalf("got starts %v, want 1", commands)
+	}
+	g.settle(store.Committed)
+	if job.StartableSince != time.Millisecond {
+		t.Errorf("launched, not running: got a wait since %v, want it unchanged", job.StartableSince)
+	}
+	running := TaskReport{Task: commands[0].Task, Attempt: commands[0].Attempt, State: taskRunning}
+	g.heartbeat("m", 1, fenced, running)
+	g.settle(store.Committed)
+	if job.StartableSince != 0 {
+		t.Errorf("running: got a wait since %v, want none", job.StartableSince)
+	}
+}
--- a/internal/fleet/candidates.go
+++ b/internal/fleet/candidates.go
@@ -156,8 +156,6 @@
 // gangs and services, and the room reserved against the job.
 func (f *Fleet) availableRoom(machine *Machine, job *jobs.Job) planner.Size {
 	free := machine.Free().Sub(machine.queuedWithoutArrays)
-	if f.isReservedFrom(machine, job) {
-		free = free.Sub(machine.reserved)
-	}
+	free = free.Sub(f.reservedFrom(machine, job))
 	return free
 }
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -121,6 +121,9 @@
 	reserved            planner.Size // reservation for a waiting gang
 	reservedRank        int          // the gang's rank
 	reservedFirmly      bool         // the reservation also binds jobs that have waited long
+	// borrowers are the tasks here that were launched into reserved room, see recordBorrower, and borrowed is their size.
+	borrowers map[TaskRef]struct{}
+	borrowed  planner.Size
 
 	failedJobs []jobs.Index // distinct jobs with a task that failed here since the last success
 	slowdown   float64      // smoothed ratio of run time to estimate; 1 is normal
--- a/internal/fleet/machineload.go
+++ b/internal/fleet/machineload.go
@@ -52,9 +52,7 @@
 // unknownWaitSeconds if there would be too little room even after all of them have ended.
 func (f *Fleet) secondsUntilRoom(now time.Duration, machine *Machine, job *jobs.Job) float64 {
 	free := machine.Free()
-	if f.isReservedFrom(machine, job) {
-		free = free.Sub(machine.reserved)
-	}
+	free = free.Sub(f.reservedFrom(machine, job))
 	size := job.Spec.Size()
 	for _, end := range f.expectedEnds(now, machine) {
 		free = free.Add(end.size)
--- a/internal/fleet/occupancy.go
+++ b/internal/fleet/occupancy.go
@@ -58,6 +58,7 @@
 	machine := f.machines[task.Machine]
 	size := job.Spec.Size()
 	delete(machine.Tasks, TaskRef{job.Index, taskIndex})
+	machine.removeBorrower(TaskRef{job.Index, taskIndex}, size)
 	if task.Phase == jobs.Fetching {
 		f.dropUnfetchedImage(machine, job.Image)
 	}
--- a/internal/fleet/preempt.go
+++ b/internal/fleet/preempt.go
@@ -108,8 +108,12 @@
 	job *jobs.Job,
 ) (refs []TaskRef, lostSeconds float64, ok bool) {
 	free := f.availableRoom(machine, job)
+	isReserved := f.isReservedFrom(machine, job)
 	var candidates []victim
 	for ref := range machine.Tasks {
+		if _, isBorrower := machine.borrowers[ref]; isBorrower && isReserved {
+			continue // the room that its end frees is reserved
+		}
 		holder := f.jobAt(ref.Job)
 		task := &holder.Tasks[ref.Task]
 		switch {
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -70,9 +70,7 @@
 func (f *Fleet) fits(machine *Machine, job *jobs.Job) bool {
 	size := job.Spec.Size()
 	free := machine.Free()
-	if f.isReservedFrom(machine, job) {
-		free = free.Sub(machine.reserved)
-	}
+	free = free.Sub(f.reservedFrom(machine, job))
 	free = free.Sub(f.reservedForGPUWork(machine, job, machine.Capacity.GPUs-machine.Used.GPUs))
 	if job.Spec.Kind == jobs.Array {
 		// Gangs and services that are queued here start as soon as their plan is durable, so arrays leave room for
@@ -163,6 +161,7 @@
 			"fetch_s", int(f.fetchSeconds(job, machine)), "term", f.Term)
 	}
 	job.Started = true
+	f.recordBorrower(machine, job, taskIndex)
 	f.setOnMachine(now, job, taskIndex, jobs.Launched)
 	return startCommand(taskName(job, taskIndex), attempt).because(causeStart)
 }
--- a/internal/planner/size.go
+++ b/internal/planner/size.go
@@ -38,6 +38,9 @@
 	return Size{min(s.CPUs, other.CPUs), min(s.GPUs, other.GPUs), min(s.Mem, other.Mem)}
 }
 
+// NotNegative returns s with 0 in place of each negative amount.
+func (s Size) NotNegative() Size { return Size{max(0, s.CPUs), max(0, s.GPUs), max(0, s.Mem)} }
+
 // Scale returns s multiplied by factor.
 func (s Size) Scale(factor float64) Size {
 	return Size{s.CPUs * factor, s.GPUs * factor, s.Mem * factor}
