--- a/internal/simulator/fixtures_test.go
+++ b/internal/simulator/fixtures_test.go
@@ -162,6 +162,28 @@
 	return cluster
 }
 
+// startFilledCluster starts a cluster with ready machines, each of which runs one long task with the given number of
+// CPUs. These tasks keep the machines from being returned. Each must be larger than half of a machine.
+func startFilledCluster(t *testing.T, stream uint64, cfg Config, machines int, cpus float64) *testCluster {
+	t.Helper()
+	cluster := startCluster(t, stream, cfg, nil)
+	if err := cluster.BootMachines(machines); err != nil {
+		t.Fatal(err)
+	}
+	cluster.waitForLeader()
+	cluster.Advance(3 * time.Second)
+	filler := arraySpec("req-000002", "c", "red")
+	filler.Spot = false
+	filler.Tasks = machines
+	filler.CPUs = cpus
+	filler.EstimateS = 600
+	cluster.newUser(filler).submit()
+	cluster.waitFor("a task on each machine", 20*time.Second, func() bool {
+		return cluster.Utilization().Running == machines
+	})
+	return cluster
+}
+
 // cancelEach cancels the jobs of users one after the other, the first after a delay. Job k is cancelled through
 // controller via(k).
 func (r *testCluster) cancelEach(users []*testUser, first, interval time.Duration, via func(k int) int) {
--- a/internal/simulator/machine.go
+++ b/internal/simulator/machine.go
@@ -65,7 +65,6 @@
 	state            string
 	reason           string // exit reason
 	saved            bool   // a checkpoint was saved when the task was halted
-	directLaunch     bool   // launched by a direct command instead of a heartbeat's answer
 	faulty           bool   // the machine was faulty when the image was ready
 	active           bool   // the image is ready and the task hasn't exited
 	launchedAt       time.Duration
--- a/internal/simulator/measurements.go
+++ b/internal/simulator/measurements.go
@@ -54,10 +54,9 @@
 	// were rejected.
 	PollBursts, JobsCancelled, OddRequests, OddRequestsRefused int
 	// TaskStartsAfterCancel counts the tasks that started after a user received the cancellation of their job.
-	// DirectLaunchStartsAfterCancel counts those of them that a controller launched by a request to the machine, not
-	// in the answer to a heartbeat. LatestStartAfterCancel is the longest time from the cancellation to a start.
-	TaskStartsAfterCancel, DirectLaunchStartsAfterCancel int
-	LatestStartAfterCancel                               time.Duration
+	// LatestStartAfterCancel is the longest time from the cancellation to a start.
+	TaskStartsAfterCancel  int
+	LatestStartAfterCancel time.Duration
 	// LongestRunAfterCancel is the longest time that a task stayed on a machine after a user received the cancellation
 	// of its job or of one of the job's ancestors.
 	LongestRunAfterCancel time.Duration
--- a/internal/simulator/onezone_test.go
+++ b/internal/simulator/onezone_test.go
@@ -11,21 +11,7 @@
 // TestGangInOneZoneRunsBesideFreeMachinesElsewhere guards against a gang that must stay in one zone and waits for ever
 // beside free machines in different zones, because these count as room and no machine is rented.
 func TestGangInOneZoneRunsBesideFreeMachinesElsewhere(t *testing.T) {
-	cfg := shortTimersConfig(11, 10)
-	cluster := startCluster(t, 67, cfg, nil)
-	if err := cluster.BootMachines(3); err != nil {
-		t.Fatal(err)
-	}
-	cluster.waitForLeader()
-	cluster.Advance(3 * time.Second)
-	// A task on each machine keeps the machines from being returned, and leaves room for one task of the gang.
-	filler := arraySpec("req-000002", "c", "red")
-	filler.Spot = false
-	filler.Tasks = 3
-	filler.CPUs = 9
-	filler.EstimateS = 300
-	fillerUser := cluster.submit(filler)
-	cluster.waitFor("a task on each machine", 20*time.Second, func() bool { return cluster.Utilization().Running == 3 })
+	cluster := startFilledCluster(t, 67, shortTimersConfig(11, 10), 3, 9)
 	spec := arraySpec("req-000001", "c", "red")
 	spec.Kind = jobs.Gang
 	spec.Tasks = 2
@@ -35,7 +21,6 @@
 	spec.EstimateS = 5
 	user := cluster.submit(spec)
 	cluster.waitFor("the gang is done", 90*time.Second, func() bool { return len(user.finalStates) > 0 })
-	fillerUser.cancel()
 	reportViolations(t, cluster.Simulation)
 }
 
--- a/internal/simulator/random_partial_faults_test.go
+++ b/internal/simulator/random_partial_faults_test.go
@@ -278,7 +278,6 @@
 	total.OddRequests += s.OddRequests
 	total.OddRequestsRefused += s.OddRequestsRefused
 	total.TaskStartsAfterCancel += s.TaskStartsAfterCancel
-	total.DirectLaunchStartsAfterCancel += s.DirectLaunchStartsAfterCancel
 	total.LatestStartAfterCancel = max(total.LatestStartAfterCancel, s.LatestStartAfterCancel)
 	total.LongestRunAfterCancel = max(total.LongestRunAfterCancel, s.LongestRunAfterCancel)
 	total.TaskStarts += s.TaskStarts
--- a/internal/simulator/repeated_commands_restart_test.go
+++ b/internal/simulator/repeated_commands_restart_test.go
@@ -21,20 +21,7 @@
 // newLateCopyRun returns a run in which the only task of a job was launched on a machine.
 func newLateCopyRun(t *testing.T, seed uint64, isFaulty bool) *lateCopyRun {
 	t.Helper()
-	run := &lateCopyRun{testCluster: startCluster(t, 61, shortTimersConfig(seed, 4), nil)}
-	if err := run.BootMachines(4); err != nil {
-		t.Fatal(err)
-	}
-	run.waitForLeader()
-	run.Advance(3 * time.Second)
-	// A task on each machine keeps the machines from being returned.
-	filler := arraySpec("req-000002", "c", "red")
-	filler.Spot = false
-	filler.Tasks = 4
-	filler.CPUs = 15
-	filler.EstimateS = 600
-	run.submit(filler)
-	run.waitFor("a task on each machine", 20*time.Second, func() bool { return run.Utilization().Running == 4 })
+	run := &lateCopyRun{testCluster: startFilledCluster(t, 61, shortTimersConfig(seed, 4), 4, 15)}
 	run.setAllFaulty(isFaulty)
 	run.KeepCommands()
 	spec := arraySpec("req-000001", "c", "red")
--- a/internal/simulator/task.go
+++ b/internal/simulator/task.go
@@ -160,7 +160,7 @@
 		sim.records.startDelays[job] = now - sim.records.submittedAt[job]
 	}
 	if cancelledAt, ok := sim.records.cancelledAt[job]; ok {
-		sim.countStartAfterCancel(task, now-cancelledAt)
+		sim.countStartAfterCancel(now - cancelledAt)
 	}
 	if sim.progressOf(task.name).done {
 		sim.stats.TasksRerun++
@@ -170,11 +170,8 @@
 	sim.checkTeamLimit(task)
 }
 
-func (sim *Simulation) countStartAfterCancel(task *workerTask, after time.Duration) {
+func (sim *Simulation) countStartAfterCancel(after time.Duration) {
 	sim.stats.TaskStartsAfterCancel++
-	if task.directLaunch {
-		sim.stats.DirectLaunchStartsAfterCancel++
-	}
 	sim.stats.LatestStartAfterCancel = max(sim.stats.LatestStartAfterCancel, after)
 }
 
--- a/internal/simulator/worker.go
+++ b/internal/simulator/worker.go
@@ -140,12 +140,23 @@
 	machine.token = *direct.Token
 	before := len(machine.tasks)
 	sim.execute(now, machine, direct.Commands)
-	for _, task := range machine.tasks[min(before, len(machine.tasks)):] {
-		task.directLaunch = true
-	}
+	sim.checkDirectLaunches(machine.tasks[min(before, len(machine.tasks)):])
 	return http.StatusOK, sim.heartbeat(now, machine)
 }
 
+// checkDirectLaunches checks that a direct request has launched no task, since a copy of the request would launch it
+// again. Controllers that run as other programs, which may be of an earlier release, are exempt.
+func (sim *Simulation) checkDirectLaunches(launched []*workerTask) {
+	if sim.virtual == nil {
+		return
+	}
+	for _, task := range launched {
+		if task.state != taskExited {
+			sim.recordViolation("direct_launch: %s, attempt %d", task.name, task.attempt)
+		}
+	}
+}
+
 // execute executes commands. Commands to halt or forget an attempt that isn't on the machine are ignored.
 func (sim *Simulation) execute(now time.Duration, machine *Machine, commands []fleet.WireCommand) {
 	for _, wire := range commands {
