--- a/internal/licences/answer.go
+++ b/internal/licences/answer.go
@@ -9,8 +9,8 @@
 
 // Answer is a licence server's answer to a query for a pool, in the format that docs/licences.md publishes.
 type Answer struct {
-	// Count is the total number of units that the server has; 0: not reported.
-	Count   int            `json:"count"`
+	// Count is the total number of units that the server has; nil: not reported.
+	Count   *int           `json:"count,omitempty"`
 	Holders []AnswerHolder `json:"holders"`
 }
 
@@ -53,7 +53,8 @@
 	if answer.Holders == nil {
 		return Answer{}, errNoHolders
 	}
-	if len(answer.Holders) > maxHolders || answer.Count < 0 {
+	isNegative := answer.Count != nil && *answer.Count < 0
+	if len(answer.Holders) > maxHolders || isNegative {
 		return Answer{}, errOutOfBounds
 	}
 	for _, holder := range answer.Holders {
--- a/internal/licences/ledger_test.go
+++ b/internal/licences/ledger_test.go
@@ -124,14 +124,23 @@
 
 // The server's own count limits the units only if it is lower than the pool's count.
 func TestServerCountBoundsUnits(t *testing.T) {
-	for _, c := range []struct{ serverCount, want int }{
-		{0, 5}, // not reported
-		{3, 3},
-		{5, 5},
-		{8, 5},
+	for _, c := range []struct {
+		answer string
+		want   int
+	}{
+		{`{"holders":[]}`, 5}, // not reported
+		{`{"count":null,"holders":[]}`, 5},
+		{`{"count":0,"holders":[]}`, 0},
+		{`{"count":3,"holders":[]}`, 3},
+		{`{"count":5,"holders":[]}`, 5},
+		{`{"count":8,"holders":[]}`, 5},
 	} {
 		r := newLedgerWithServer(5)
-		r.ApplyAnswer(0, 0, "p", Answer{Count: c.serverCount, Holders: []AnswerHolder{}}, taskByName)
-		r.requireFree(t, c.want, fmt.Sprintf("server count %d", c.serverCount))
+		answer, err := ParseAnswer([]byte(c.answer))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.ApplyAnswer(0, 0, "p", answer, taskByName)
+		r.requireFree(t, c.want, c.answer)
 	}
 }
--- a/internal/licences/poolstate.go
+++ b/internal/licences/poolstate.go
@@ -193,8 +193,8 @@
 // totalUnits returns the total number of units: the pool's count, or the server's own count if that is lower.
 func (p *poolState) totalUnits() int {
 	units := p.catalog.Count(p.index)
-	if p.server.count > 0 {
-		units = min(units, p.server.count)
+	if p.server.count != nil {
+		units = min(units, *p.server.count)
 	}
 	return units
 }
--- a/internal/licences/server.go
+++ b/internal/licences/server.go
@@ -58,7 +58,7 @@
 	isQueryInFlight  bool
 	queriedAt        time.Duration   // send time of the last query; 0: none in this term
 	isAnswerAwaited  bool            // a job waits for units: the next query is urgent
-	count            int             // total units by the last answer; 0: not reported
+	count            *int            // total units by the last answer; nil: not reported
 	outsideUnits     int             // units of outside holders by the last answer
 	outsideSamples   []outsideSample // the oldest first
 	missingCheckouts int             // CheckedOut checkouts that the last answer lacks although an earlier one had them
--- a/internal/simulator/licence_server.go
+++ b/internal/simulator/licence_server.go
@@ -85,7 +85,8 @@
 	case pool == nil:
 		return http.StatusNotFound, nil
 	}
-	return http.StatusOK, licences.Answer{Count: pool.size, Holders: pool.entries()}
+	size := pool.size
+	return http.StatusOK, licences.Answer{Count: &size, Holders: pool.entries()}
 }
 
 // checkOut checks out a running task's units, or renews its checkouts. It returns false if a pool has too few free
