--- a/internal/fleet/backfill.go
+++ b/internal/fleet/backfill.go
@@ -29,8 +29,9 @@
 // roomRequest is the part of a job that determines whether there is room for it. It is the key of cached results.
 type roomRequest struct {
 	jobShape
-	tasks   int // number of tasks that must start together
-	oneZone bool
+	tasks     int // number of tasks that must start together
+	oneZone   bool
+	zoneLimit int
 }
 
 // updateRoomSince sets RoomSince of each job to the time since which the job has waited although there is room for it;
@@ -78,7 +79,7 @@
 	if len(job.AvoidedMachines) > 0 {
 		return f.findRoom(job, tasks)
 	}
-	request := roomRequest{shapeOf(job), tasks, job.Spec.OneZone}
+	request := roomRequest{shapeOf(job), tasks, job.Spec.OneZone, job.Spec.ZoneLimit()}
 	request.image = 0 // any machine can fetch the image
 	room, ok := roomByRequest[request]
 	if !ok {
@@ -98,18 +99,31 @@
 		if !takesWork(machine) || !size.Fits(free) || !f.mayPlace(machine, job) || !f.zoneAccepts(machine, job) {
 			continue
 		}
-		zone := jobs.None
-		if job.Spec.OneZone {
-			zone = machine.Zone
-		}
-		placesByZone[zone] += size.FitCount(free)
-		if placesByZone[zone] >= tasks {
+		placesByZone[machine.Zone] += size.FitCount(free)
+		if placesFor(job, placesByZone) >= tasks {
 			return true
 		}
 	}
 	return false
 }
 
+// placesFor returns how many tasks of a job may use the given places at once, by the zones to which the job is limited.
+func placesFor(job *jobs.Job, placesByZone map[int32]int) int {
+	limit := job.Spec.ZoneLimit()
+	total, largest := 0, 0
+	for _, places := range placesByZone {
+		if limit > 0 {
+			places = min(places, limit)
+		}
+		total += places
+		largest = max(largest, places)
+	}
+	if job.Spec.OneZone {
+		return largest
+	}
+	return total
+}
+
 // starvedFor returns how long a job has waited while there was room for it. It returns 0 for a nil job.
 func (f *Fleet) starvedFor(job *jobs.Job) time.Duration {
 	if job == nil || job.StartableSince == 0 || job.TasksOnMachines() > 0 {
--- a/internal/fleet/backfill_test.go
+++ b/internal/fleet/backfill_test.go
@@ -179,3 +179,24 @@
 		t.Errorf("running: got a wait since %v, want none", job.StartableSince)
 	}
 }
+
+// Places in one zone beyond the limit of a job that must be spread over zones, and places in several zones for a job that
+// must stay in one, don't count as room.
+func TestRoomIsCountedByZone(t *testing.T) {
+	for _, test := range []struct {
+		name            string
+		spread, oneZone bool
+		places          map[int32]int
+		want            int
+	}{
+		{"any zone", false, false, map[int32]int{0: 5, 1: 1}, 6},
+		{"one zone", false, true, map[int32]int{0: 2, 1: 3}, 3},
+		{"spread, one zone has room", true, false, map[int32]int{0: 9}, 2},
+		{"spread, two zones have room", true, false, map[int32]int{0: 9, 1: 1}, 3},
+	} {
+		job := &jobs.Job{Spec: &jobs.Spec{Tasks: 4, Spread: test.spread, OneZone: test.oneZone}}
+		if got := placesFor(job, test.places); got != test.want {
+			t.Errorf("%s: got %d places, want %d", test.name, got, test.want)
+		}
+	}
+}
