--- a/internal/fleet/guards_test.go
+++ b/internal/fleet/guards_test.go
@@ -155,7 +155,7 @@
 
 // A launch in a response that is still in flight must count against its team's quota until the worker's next heartbeat,
 // whatever the response to a direct request lists.
-func TestIndeterminateLaunchCountsUntilFenced(t *testing.T) {
+func TestLaunchInFlightCountsUntilNextHeartbeat(t *testing.T) {
 	g, job := newRigWithLaunch(t)
 	g.cancel(job)
 	for range 2 {
@@ -186,7 +186,7 @@
 }
 
 // An attempt must be forgotten only in response to a heartbeat, since an earlier response in flight may launch it.
-func TestForgetWaitsForAnIndeterminateLaunch(t *testing.T) {
+func TestForgetIsSentOnlyInResponses(t *testing.T) {
 	g, job := newRigWithLaunch(t)
 	failed := TaskReport{Task: "req-000001/0", Attempt: job.Tasks[0].Attempt, State: taskExited, ExitCause: exitError}
 	g.directResponse("m", 1, fenced, failed)
--- a/internal/fleet/licences_test.go
+++ b/internal/fleet/licences_test.go
@@ -175,7 +175,7 @@
 
 // A launch in a heartbeat's response that is still in flight keeps its unit in use until the worker's next heartbeat,
 // whatever the response to a direct request lists.
-func TestIndeterminateLaunchKeepsUnit(t *testing.T) {
+func TestLaunchInFlightKeepsUnit(t *testing.T) {
 	g := newLicenceRig(t, 1, map[string]json.RawMessage{}, &licences.Pool{Name: "p", Count: 1})
 	g.heartbeat("m", 1, fenced)
 	job := g.submit(specWithLicences(1, 1, oneUnit()))
