--- a/review/standin2/cloud.go
+++ b/review/standin2/cloud.go
@@ -48,7 +48,7 @@
 func newCloud(w *world, nodes func() map[string]string, rps, lagS float64, capacity map[offerKey]int) (*cloud, error) {
 	c := &cloud{
 		world: w, nodes: nodes, rps: rps, lagS: lagS, claims: map[string][]string{}, capacity: capacity, nextID: 100,
-		budget: bucket{rate: rps},
+		budget: bucket{rate: rps, burstS: 2},
 	}
 	c.bootS = func(build string) float64 { return w.types[build].ReadyS * (0.6 + 0.9*w.rng.float()) }
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/review/standin2/cluster.go
+++ b/review/standin2/cluster.go
@@ -88,10 +88,11 @@
 }
 
 var (
-	errNoPorts     = errors.New("no free ports")
-	errNotAccepted = errors.New("a job was not accepted")
-	errStopped     = errors.New("stopped by a signal")
-	errTooLong     = errors.New("it took too long")
+	errNoPorts       = errors.New("no free ports")
+	errNotAccepted   = errors.New("a job was not accepted")
+	errNotCarriedOut = errors.New("an operator's command was not carried out")
+	errStopped       = errors.New("stopped by a signal")
+	errTooLong       = errors.New("it took too long")
 )
 
 func newCluster(s site, rec *recorder, seed uint64) (*cluster, error) {
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -85,6 +85,7 @@
 	starts    int
 	runs      map[string]int // starts of each task
 	onStart   func(task string, try uint64, w *worker)
+	onLeave   func(task, why string)
 	lateStart int
 	seats     map[string]int
 }
@@ -238,6 +239,9 @@
 	if _, ok := w.on[task][m]; ok {
 		delete(w.on[task], m)
 		w.rec.logf("end %s on %s: %s", task, m.name, why)
+		if w.onLeave != nil {
+			w.onLeave(task, why)
+		}
 	}
 	if len(w.on[task]) == 0 {
 		delete(w.on, task)
