--- a/review/standin2/chaos.go
+++ b/review/standin2/chaos.go
@@ -29,6 +29,12 @@
 	}
 	defer c.close()
 	rng := c.world.rng
+	if os.Getenv("COPIES") != "" {
+		c.cloud.onWorker = func(m *worker) {
+			m.lateReport = func() time.Duration { return lateness(rng, 0.2, 40) }
+			m.lateOrders = func() time.Duration { return lateness(rng, 0.4, 18) }
+		}
+	}
 	c.world.seats = map[string]int{"seat": 6, "desk": 4}
 	if os.Getenv("EXTRA") != "" && trouble {
 		go c.operators()
@@ -40,7 +46,6 @@
 		_ = i
 		c.cloud.add("lobsterpot", zone)
 	}
-	c.cloud.onWorker = func(*worker) {}
 	if err := c.startAll(); err != nil {
 		return err
 	}
@@ -146,7 +151,7 @@
 	if l := c.leader(); l >= 0 && rng.intn(3) > 0 {
 		node = l
 	}
-	switch rng.intn(12) {
+	switch rng.intn(13) {
 	case 0, 1:
 		c.kill(node)
 		time.Sleep(seconds([]float64{0.05, 0.5, 4, 8}[rng.intn(4)]))
@@ -215,6 +220,8 @@
 		c.state.mu.Lock()
 		c.state.fateOf = nil
 		c.state.mu.Unlock()
+	case 12:
+		c.cutZone(c.site.zones[rng.intn(len(c.site.zones))], seconds(10+25*rng.float()))
 	case 11:
 		c.signal(node, syscall.SIGTERM)
 		<-c.nodes[node].ended
@@ -246,3 +253,28 @@
 		}
 	}
 }
+
+// lateness returns, for a share of the messages, how late a copy of the message arrives, and 0 for the others.
+func lateness(rng *lockedRand, share, longestS float64) time.Duration {
+	if rng.float() > share {
+		return 0
+	}
+	return seconds(2 + (longestS-2)*rng.float())
+}
+
+// cutZone cuts the machines of a zone off from all controllers for a time.
+func (c *cluster) cutZone(zone string, d time.Duration) {
+	c.rec.logf("zone %s is cut off for %v", zone, d)
+	for _, m := range c.cloud.workers() {
+		if m.zone != zone {
+			continue
+		}
+		set := func(on bool) {
+			m.mu.Lock()
+			m.deaf, m.mute = on, on
+			m.mu.Unlock()
+		}
+		set(true)
+		time.AfterFunc(d, func() { set(false) })
+	}
+}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -86,7 +86,7 @@
 
 // cases are the cases of the review, and two searches that its report names.
 var cases = map[string]func(*recorder, bool) error{
-	"gang": gangCase, "seat": seatCase, "session": sessionCase, "repeat": repeatCase, "linger": lingerCase, "chaos": chaos, "shapes": shapes,
+	"gang": gangCase, "seat": seatCase, "session": sessionCase, "repeat": repeatCase, "linger": lingerCase, "chaos": chaos, "many": manyTasks, "shapes": shapes,
 }
 
 // runLimit is the longest run of a case.
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -54,9 +54,8 @@
 	changed    chan struct{}
 	listener   net.Listener
 	client     *http.Client
-	// lateReport returns how late a second copy of a report is sent; 0: none.
-	lateReport func() time.Duration
-	onAnswer   func(status int)
+	// lateReport returns how late a second copy of a report is sent, and lateOrders that of a direct request; 0: none.
+	lateReport, lateOrders func() time.Duration
 }
 
 func newWorker(w *world, nodes func() map[string]string, name, build, zone string, spot bool) (*worker, error) {
@@ -448,10 +447,27 @@
 	} else {
 		m.mark = *orders.Mark
 		m.execute(orders.Calls)
+		if m.lateOrders != nil {
+			if late := m.lateOrders(); late > 0 {
+				time.AfterFunc(late, func() { m.repeatOrders(orders) })
+			}
+		}
 	}
 	sendJSON(w, status, m.report())
 }
 
+// repeatOrders carries out a direct request once more, if its token and session still match.
+func (m *worker) repeatOrders(orders commandBody) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.dead || m.wasHung || *orders.Mark < m.mark || *orders.Run != m.run {
+		return
+	}
+	m.mark = *orders.Mark
+	m.execute(orders.Calls)
+	m.tally++
+}
+
 func (m *worker) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	if !m.awaitAwake() {
 		hangUp(w)
@@ -532,10 +548,12 @@
 		return 0, "", sent
 	}
 	if late > 0 {
-		addr := m.nodes()[at]
 		time.AfterFunc(late, func() {
-			if resp, err := m.client.Post("http://"+addr+"/checkin", "application/json", bytes.NewReader(body)); err == nil {
-				_ = resp.Body.Close()
+			for _, addr := range m.nodes() {
+				resp, err := m.client.Post("http://"+addr+"/checkin", "application/json", bytes.NewReader(body))
+				if err == nil {
+					_ = resp.Body.Close()
+				}
 			}
 		})
 	}
@@ -550,9 +568,6 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.onAnswer != nil {
-		m.onAnswer(resp.StatusCode)
-	}
 	switch resp.StatusCode {
 	case http.StatusMisdirectedRequest:
 		var redirect struct {
